--- /dev/null
+++ b/applier/state.go
@@ -0,0 +1,194 @@
+package applier
+
+import (
+	"cmp"
+	"slices"
+
+	"hibiscusline/hasher"
+	"hibiscusline/validator"
+)
+
+// Bounds of the lists in the state. They are part of the fold: changing one changes the state that old records give.
+const (
+	maxResults   = 1024
+	maxProposals = 256
+	maxSuspects  = 256
+	maxRemovals  = 1024
+	maxLineage   = 4
+)
+
+// Assignment is a range of a service with its owner.
+type Assignment struct {
+	Range hasher.Range `cbor:"1,keyasint" json:"range"`
+	Owner MemberID     `cbor:"2,keyasint" json:"owner"`
+	// Epoch is the offset of the record that last changed the owner. It is the fencing token.
+	Epoch Offset `cbor:"3,keyasint" json:"epoch"`
+	Cause Cause  `cbor:"4,keyasint" json:"cause"`
+	// Lineage lists lost owners whose idempotency rows the present owner has not yet declared to hold.
+	Lineage []MemberID `cbor:"5,keyasint,omitempty" json:"lineage,omitempty"`
+	// Incomplete means that the lineage was longer than it is kept, so rows may be missing.
+	Incomplete bool `cbor:"6,keyasint,omitempty" json:"incomplete,omitempty"`
+}
+
+// ProposalStatus is the state of a proposed configuration.
+type ProposalStatus uint8
+
+// States of a proposal.
+const (
+	Pending  ProposalStatus = iota // pending
+	InForce                        // in_force
+	Refused                        // refused
+	Stale                          // stale
+	Replaced                       // replaced
+)
+
+// MarshalText writes the status's name.
+func (s ProposalStatus) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+// Proposal is a configuration that was published, with what became of it.
+type Proposal struct {
+	Offset  Offset         `cbor:"1,keyasint" json:"offset"`
+	Author  string         `cbor:"2,keyasint" json:"author"`
+	Base    Offset         `cbor:"3,keyasint" json:"base"`
+	Comment string         `cbor:"4,keyasint" json:"comment,omitempty"`
+	Status  ProposalStatus `cbor:"5,keyasint" json:"status"`
+	// Version is the offset from which the proposal was in force, or zero.
+	Version Offset `cbor:"6,keyasint" json:"version,omitempty"`
+	// DecidedBy is the operator who approved or rejected the proposal.
+	DecidedBy string `cbor:"7,keyasint" json:"decided_by,omitempty"`
+	Reason    string `cbor:"8,keyasint" json:"reason,omitempty"`
+	// Configuration is kept while the proposal is pending or in force.
+	Configuration *validator.Configuration `cbor:"9,keyasint,omitempty" json:"-"`
+}
+
+// Result says what became of a record.
+type Result struct {
+	ID       string `cbor:"1,keyasint" json:"id"`
+	Offset   Offset `cbor:"2,keyasint" json:"offset"`
+	Kind     Kind   `cbor:"3,keyasint" json:"kind"`
+	Accepted bool   `cbor:"4,keyasint" json:"accepted"`
+	// Reason says why the record was rejected.
+	Reason string `cbor:"5,keyasint,omitempty" json:"reason,omitempty"`
+}
+
+// SuspectCount is a request fingerprint with the number of crashes in which it was in flight.
+type SuspectCount struct {
+	Fingerprint uint64 `cbor:"1,keyasint" json:"fingerprint"`
+	Crashes     int    `cbor:"2,keyasint" json:"crashes"`
+	Offset      Offset `cbor:"3,keyasint" json:"offset"`
+}
+
+// State is the result of applying all records up to Applied. The zero value is the state of an empty log.
+type State struct {
+	Applied       Offset                   `cbor:"1,keyasint" json:"applied"`
+	Members       map[MemberID]*Member     `cbor:"2,keyasint" json:"members"`
+	Assignments   map[string][]Assignment  `cbor:"3,keyasint" json:"assignments"`
+	Configuration *validator.Configuration `cbor:"4,keyasint" json:"configuration"`
+	// Version is the offset of the record that put Configuration in force.
+	Version   Offset         `cbor:"5,keyasint" json:"version"`
+	Proposals []Proposal     `cbor:"6,keyasint" json:"proposals"`
+	Removals  []Removal      `cbor:"7,keyasint" json:"removals"`
+	Suspects  []SuspectCount `cbor:"8,keyasint" json:"suspects"`
+	Results   []Result       `cbor:"9,keyasint" json:"-"`
+	// CheckpointAsOf is the offset of the newest state of which a whole checkpoint is in the log.
+	CheckpointAsOf Offset `cbor:"10,keyasint" json:"checkpoint_as_of"`
+	// PendingCheckpoint tracks the pieces of the checkpoint that is being appended.
+	PendingCheckpoint checkpointProgress `cbor:"11,keyasint" json:"-"`
+}
+
+type checkpointProgress struct {
+	ID   string `cbor:"1,keyasint"`
+	Next int    `cbor:"2,keyasint"`
+}
+
+// Lookup returns the assignment that contains a position of a keyed service. It reports false when the service has no
+// ranges.
+func (s *State) Lookup(service string, p hasher.Position) (Assignment, bool) {
+	i, found := findRange(s.Assignments[service], p)
+	if !found {
+		return Assignment{}, false
+	}
+	return s.Assignments[service][i], true
+}
+
+func findRange(ranges []Assignment, p hasher.Position) (int, bool) {
+	i, _ := slices.BinarySearchFunc(ranges, p, func(a Assignment, p hasher.Position) int {
+		return cmp.Compare(a.Range.High, p)
+	})
+	return i, i < len(ranges) && ranges[i].Range.Contains(p)
+}
+
+// Owned returns the assignments of a member, in ascending order of range.
+func (s *State) Owned(id MemberID) []Assignment {
+	member, present := s.Members[id]
+	if !present {
+		return nil
+	}
+	var owned []Assignment
+	for _, a := range s.Assignments[member.Service] {
+		if a.Owner == id {
+			owned = append(owned, a)
+		}
+	}
+	return owned
+}
+
+// MembersOf returns the members of a service, or all members for an empty service, in ascending order of id.
+func (s *State) MembersOf(service string) []*Member {
+	var members []*Member
+	for _, m := range s.Members {
+		if service == "" || m.Service == service {
+			members = append(members, m)
+		}
+	}
+	slices.SortFunc(members, func(a, b *Member) int { return cmp.Compare(a.ID, b.ID) })
+	return members
+}
+
+// Removal returns what is known of a removed member.
+func (s *State) Removal(id MemberID) (Removal, bool) {
+	for i := len(s.Removals) - 1; i >= 0; i-- {
+		if s.Removals[i].ID == id {
+			return s.Removals[i], true
+		}
+	}
+	return Removal{}, false
+}
+
+// ResultOf returns what became of the record with an id, if it was applied recently.
+func (s *State) ResultOf(id string) (Result, bool) {
+	for i := len(s.Results) - 1; i >= 0; i-- {
+		if s.Results[i].ID == id {
+			return s.Results[i], true
+		}
+	}
+	return Result{}, false
+}
+
+// CrashesOf returns the number of crashes in which a fingerprint was in flight.
+func (s *State) CrashesOf(fingerprint uint64) int {
+	for _, suspect := range s.Suspects {
+		if suspect.Fingerprint == fingerprint {
+			return suspect.Crashes
+		}
+	}
+	return 0
+}
+
+// Oldest returns the active member that joined first, which performs the duties of the fleet. It returns zero when there
+// is none.
+func (s *State) Oldest() MemberID {
+	var oldest *Member
+	for _, m := range s.Members {
+		if m.Status != Active {
+			continue
+		}
+		if oldest == nil || m.Joined < oldest.Joined {
+			oldest = m
+		}
+	}
+	if oldest == nil {
+		return 0
+	}
+	return oldest.ID
+}
--- /dev/null
+++ b/hasher/doc.go
@@ -0,0 +1,2 @@
+// Package hasher maps request keys to positions of a service's 64-bit key space and defines ranges of positions.
+package hasher
