--- /dev/null
+++ b/appender/client.go
@@ -0,0 +1,121 @@
+package appender
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"hibiscusline/applier"
+	"hibiscusline/follower"
+	"hibiscusline/recorder"
+)
+
+const (
+	defaultTimeout = 2 * time.Second
+	// maxReply bounds the body of a read: the service's own bound, one more record and the framing.
+	maxReply = recorder.MaxReadBytes + recorder.MaxRecord + 64<<10
+)
+
+// Config configures a Client.
+type Config struct {
+	Address netip.AddrPort
+	Stream  string
+	// Timeout bounds one call. Zero means two seconds.
+	Timeout time.Duration
+}
+
+// Client calls the log service. It is safe for concurrent use.
+type Client struct {
+	config Config
+	base   string
+	http   *http.Client
+}
+
+// Batch is a run of records read from the log.
+type Batch = follower.Batch
+
+// New returns a client. It does not connect before the first call.
+func New(c Config) *Client {
+	if c.Timeout == 0 {
+		c.Timeout = defaultTimeout
+	}
+	return &Client{
+		config: c,
+		base:   fmt.Sprintf("http://%s/streams/%s/records", c.Address, url.PathEscape(c.Stream)),
+		http:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}},
+	}
+}
+
+// Close releases idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Read returns the records from an offset on, at most limit of them, or from the first kept one when that is later.
+func (c *Client) Read(ctx context.Context, from applier.Offset, limit int) (Batch, error) {
+	target := c.base + "?from=" + strconv.FormatUint(uint64(from), 10) + "&limit=" + strconv.Itoa(limit)
+	var reply recorder.ReadReply
+	if err := c.call(ctx, http.MethodGet, target, nil, &reply); err != nil {
+		return Batch{}, errors.Wrap(err, "read the log")
+	}
+	return Batch{
+		First: applier.Offset(reply.First), Next: applier.Offset(reply.Next),
+		Start: applier.Offset(reply.Start), Records: reply.Records,
+	}, nil
+}
+
+// Append appends a record once. After an error the record may or may not be in the log.
+func (c *Client) Append(ctx context.Context, e applier.Envelope) (applier.Offset, error) {
+	data, err := applier.Encode(e)
+	if err != nil {
+		return 0, err
+	}
+	if len(data) > recorder.MaxRecord {
+		return 0, errors.Errorf("record of %d bytes is larger than %d", len(data), recorder.MaxRecord)
+	}
+	var reply recorder.AppendReply
+	if err := c.call(ctx, http.MethodPost, c.base, data, &reply); err != nil {
+		return 0, errors.Wrap(err, "append to the log")
+	}
+	return applier.Offset(reply.Offset), nil
+}
+
+func (c *Client) call(ctx context.Context, method, target string, body []byte, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.config.Timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return err
+	}
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxReply))
+	if closeErr := response.Body.Close(); err == nil {
+		err = closeErr
+	}
+	if err != nil {
+		return err
+	}
+	if response.StatusCode/100 != 2 {
+		return replyError(response.Status, data)
+	}
+	return errors.Wrap(cbor.Unmarshal(data, reply), "decode reply")
+}
+
+func replyError(status string, data []byte) error {
+	var reply recorder.ErrorReply
+	if err := json.Unmarshal(data, &reply); err != nil {
+		return errors.Errorf("log service answered %s", status)
+	}
+	return errors.WithMessage(&reply, status)
+}
--- /dev/null
+++ b/transporter/authority.go
@@ -0,0 +1,99 @@
+package transporter
+
+import (
+	"crypto"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"math/big"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Authority signs process certificates for tests, the demo and trials. Fleets use the platform's own authority.
+type Authority struct {
+	certificate *x509.Certificate
+	key         crypto.Signer
+}
+
+// NewAuthority creates an authority with a new key.
+func NewAuthority(validity time.Duration) (*Authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, errors.Wrap(err, "authority key")
+	}
+	template := certificateTemplate("hibiscusline authority", validity)
+	template.IsCA, template.BasicConstraintsValid = true, true
+	template.KeyUsage = x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	if err != nil {
+		return nil, errors.Wrap(err, "authority certificate")
+	}
+	certificate, err := x509.ParseCertificate(der)
+	if err != nil {
+		return nil, errors.Wrap(err, "authority certificate")
+	}
+	return &Authority{certificate: certificate, key: key}, nil
+}
+
+// Files are the paths of a process's PEM files.
+type Files struct {
+	Authority   string
+	Certificate string
+	Key         string
+}
+
+// Issue signs a certificate for a process and writes the three PEM files of its settings to a directory.
+func (a *Authority) Issue(directory, name string, validity time.Duration) (Files, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return Files{}, errors.Wrap(err, "process key")
+	}
+	template := certificateTemplate(name, validity)
+	template.KeyUsage = x509.KeyUsageDigitalSignature
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, key.Public(), a.key)
+	if err != nil {
+		return Files{}, errors.Wrap(err, "process certificate")
+	}
+	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return Files{}, errors.Wrap(err, "process key")
+	}
+	files := Files{
+		Authority:   filepath.Join(directory, "authority.pem"),
+		Certificate: filepath.Join(directory, name+".pem"),
+		Key:         filepath.Join(directory, name+".key"),
+	}
+	contents := map[string][]byte{
+		files.Authority:   encodePEM("CERTIFICATE", a.certificate.Raw),
+		files.Certificate: encodePEM("CERTIFICATE", der),
+		files.Key:         encodePEM("PRIVATE KEY", keyDER),
+	}
+	for path, data := range contents {
+		if err := os.WriteFile(path, data, 0o600); err != nil {
+			return Files{}, errors.Wrap(err, "write credentials")
+		}
+	}
+	return files, nil
+}
+
+func certificateTemplate(name string, validity time.Duration) *x509.Certificate {
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), 120))
+	if err != nil {
+		// The system's random source does not fail on supported systems.
+		panic(err)
+	}
+	now := time.Now()
+	return &x509.Certificate{
+		SerialNumber: serial,
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    now.Add(-time.Hour),
+		NotAfter:     now.Add(validity),
+	}
+}
--- /dev/null
+++ b/transporter/transporter.go
@@ -0,0 +1,298 @@
+package transporter
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/quic-go/quic-go"
+)
+
+// Stream is one exchange between two processes.
+type Stream = quic.Stream
+
+// Codes of stream resets.
+const (
+	// ResetCancelled means that the other side no longer wants the exchange.
+	ResetCancelled quic.StreamErrorCode = 1
+	// ResetTruncated means that the body could not be sent to its end.
+	ResetTruncated quic.StreamErrorCode = 2
+)
+
+const (
+	defaultIdleTimeout = 60 * time.Second
+	defaultDialTimeout = time.Second
+	// maxStreams bounds the exchanges that one peer may have open at a time.
+	maxStreams = 10000
+)
+
+// Config configures a Transporter.
+type Config struct {
+	Listen      netip.AddrPort
+	Credentials Credentials
+	// HandleStream serves a stream that a peer opened. The context ends with the connection.
+	HandleStream func(context.Context, *Stream)
+	// HandleDatagram takes a datagram. It must not block.
+	HandleDatagram func(from netip.AddrPort, payload []byte)
+	// DialTimeout bounds the set-up of a connection. Zero means one second.
+	DialTimeout time.Duration
+}
+
+// Transporter owns the UDP socket of a process and its connections.
+type Transporter struct {
+	config    Config
+	transport *quic.Transport
+	listener  *quic.Listener
+	address   netip.AddrPort
+	context   context.Context
+	cancel    context.CancelFunc
+	tasks     sync.WaitGroup
+
+	mu    sync.Mutex
+	peers map[netip.AddrPort]*peer
+
+	dials    atomic.Int64
+	failures atomic.Int64
+	sent     atomic.Int64
+	dropped  atomic.Int64
+}
+
+// peer is the connection to one address. ready is closed when the attempt to connect has ended.
+type peer struct {
+	ready      chan struct{}
+	connection *quic.Conn
+	err        error
+}
+
+// Listen opens the socket and serves it until Close.
+func Listen(c Config) (*Transporter, error) {
+	if c.DialTimeout == 0 {
+		c.DialTimeout = defaultDialTimeout
+	}
+	key, err := c.Credentials.resetKey()
+	if err != nil {
+		return nil, err
+	}
+	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(c.Listen))
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	transport := &quic.Transport{Conn: socket, StatelessResetKey: key}
+	listener, err := transport.Listen(c.Credentials.server(), quicConfig())
+	if err != nil {
+		return nil, errors.Wrap(errors.WithMessage(err, closeText(socket.Close())), "listen")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t := &Transporter{
+		config: c, transport: transport, listener: listener, context: ctx, cancel: cancel,
+		address: socket.LocalAddr().(*net.UDPAddr).AddrPort(),
+		peers:   map[netip.AddrPort]*peer{},
+	}
+	t.tasks.Go(t.accept)
+	return t, nil
+}
+
+func closeText(err error) string {
+	if err != nil {
+		return "close: " + err.Error()
+	}
+	return "socket closed"
+}
+
+func quicConfig() *quic.Config {
+	return &quic.Config{
+		MaxIdleTimeout:        defaultIdleTimeout,
+		MaxIncomingStreams:    maxStreams,
+		MaxIncomingUniStreams: -1,
+		EnableDatagrams:       true,
+		// Smaller first windows keep the memory of a connection low; they grow with use.
+		InitialStreamReceiveWindow:     64 << 10,
+		InitialConnectionReceiveWindow: 128 << 10,
+	}
+}
+
+// Address returns the address on which peers reach this process.
+func (t *Transporter) Address() netip.AddrPort { return t.address }
+
+// Counts returns the connections dialled, the failed dials, and the datagrams sent and dropped so far.
+func (t *Transporter) Counts() (dials, failures, sent, dropped int64) {
+	return t.dials.Load(), t.failures.Load(), t.sent.Load(), t.dropped.Load()
+}
+
+// Connections returns the number of open connections.
+func (t *Transporter) Connections() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.peers)
+}
+
+// Close ends all connections and waits for their tasks.
+func (t *Transporter) Close() error {
+	t.cancel()
+	listenErr := t.listener.Close()
+	t.mu.Lock()
+	for _, p := range t.peers {
+		if p.connection != nil {
+			// The error only repeats why the connection had ended before.
+			_ = p.connection.CloseWithError(0, "stopping")
+		}
+	}
+	t.mu.Unlock()
+	if err := t.transport.Close(); err != nil {
+		return errors.Wrap(err, "close transport")
+	}
+	closeErr := t.transport.Conn.Close()
+	t.tasks.Wait()
+	if listenErr != nil {
+		return errors.Wrap(listenErr, "close listener")
+	}
+	return errors.Wrap(closeErr, "close socket")
+}
+
+func (t *Transporter) accept() {
+	for {
+		connection, err := t.listener.Accept(t.context)
+		if err != nil {
+			return
+		}
+		p := &peer{ready: make(chan struct{}), connection: connection}
+		close(p.ready)
+		address := remoteAddress(connection)
+		t.mu.Lock()
+		if _, present := t.peers[address]; !present {
+			t.peers[address] = p
+		}
+		t.mu.Unlock()
+		t.serve(address, p)
+	}
+}
+
+func remoteAddress(c *quic.Conn) netip.AddrPort {
+	address := c.RemoteAddr().(*net.UDPAddr).AddrPort()
+	return netip.AddrPortFrom(address.Addr().Unmap(), address.Port())
+}
+
+// serve starts the tasks of a connection.
+func (t *Transporter) serve(address netip.AddrPort, p *peer) {
+	t.tasks.Go(func() {
+		defer t.forget(address, p)
+		for {
+			stream, err := p.connection.AcceptStream(t.context)
+			if err != nil {
+				return
+			}
+			t.tasks.Go(func() { t.config.HandleStream(p.connection.Context(), stream) })
+		}
+	})
+	t.tasks.Go(func() {
+		for {
+			payload, err := p.connection.ReceiveDatagram(t.context)
+			if err != nil {
+				return
+			}
+			t.config.HandleDatagram(address, payload)
+		}
+	})
+}
+
+func (t *Transporter) forget(address netip.AddrPort, p *peer) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.peers[address] == p {
+		delete(t.peers, address)
+	}
+}
+
+// Open opens a stream to the process at an address. An error means that nothing was sent on the stream.
+func (t *Transporter) Open(ctx context.Context, address netip.AddrPort) (*Stream, error) {
+	p := t.connect(address)
+	select {
+	case <-p.ready:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if p.err != nil {
+		return nil, p.err
+	}
+	stream, err := p.connection.OpenStreamSync(ctx)
+	if err != nil {
+		if p.connection.Context().Err() != nil {
+			t.forget(address, p)
+		}
+		return nil, errors.Wrap(err, "open stream")
+	}
+	return stream, nil
+}
+
+// connect returns the peer at an address and starts to connect when there is none.
+func (t *Transporter) connect(address netip.AddrPort) *peer {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, present := t.peers[address]
+	if present && (p.connection == nil || p.connection.Context().Err() == nil) {
+		return p
+	}
+	p = &peer{ready: make(chan struct{})}
+	t.peers[address] = p
+	t.tasks.Go(func() { t.dial(address, p) })
+	return p
+}
+
+func (t *Transporter) dial(address netip.AddrPort, p *peer) {
+	ctx, cancel := context.WithTimeout(t.context, t.config.DialTimeout)
+	defer cancel()
+	t.dials.Add(1)
+	connection, err := t.transport.Dial(ctx, net.UDPAddrFromAddrPort(address), t.config.Credentials.client(), quicConfig())
+	if err != nil {
+		t.failures.Add(1)
+		p.err = errors.Wrapf(err, "connect to %s", address)
+		t.forget(address, p)
+		close(p.ready)
+		return
+	}
+	t.mu.Lock()
+	p.connection = connection
+	t.mu.Unlock()
+	close(p.ready)
+	t.serve(address, p)
+}
+
+// Drop closes the connection to an address, for a peer that is known to be gone.
+func (t *Transporter) Drop(address netip.AddrPort) {
+	t.mu.Lock()
+	p := t.peers[address]
+	delete(t.peers, address)
+	var connection *quic.Conn
+	if p != nil {
+		connection = p.connection
+	}
+	t.mu.Unlock()
+	if connection != nil {
+		// The error only repeats why the connection had ended before.
+		_ = connection.CloseWithError(0, "peer was removed")
+	}
+}
+
+// SendDatagram sends a datagram without waiting. It is dropped while there is no connection yet, which is then set up.
+func (t *Transporter) SendDatagram(address netip.AddrPort, payload []byte) {
+	p := t.connect(address)
+	select {
+	case <-p.ready:
+	default:
+		t.dropped.Add(1)
+		return
+	}
+	if p.err != nil {
+		t.dropped.Add(1)
+		return
+	}
+	if err := p.connection.SendDatagram(payload); err != nil {
+		t.dropped.Add(1)
+		return
+	}
+	t.sent.Add(1)
+}
