recorder, emulator: log service stand-in

Cause: the client of the log, the daemon and the experiments need the published protocol to run against. Ruled out: a file-backed log, because the stand-in's state only has to outlive one experiment.

--- /dev/null
+++ b/emulator/logsettings.go
@@ -0,0 +1,123 @@
+package emulator
+
+import (
+	"bytes"
+	"encoding/json"
+
+	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
+
+	"hibiscusline/validator"
+)
+
+// Outage says how a log or a backend server fails.
+type Outage uint8
+
+// Kinds of outage.
+const (
+	NoOutage Outage = iota // none
+	Refuse                 // refuse
+	Hang                   // hang
+)
+
+// MarshalText writes the outage's name.
+func (o Outage) MarshalText() ([]byte, error) { return []byte(o.String()), nil }
+
+// UnmarshalText reads the outage's name.
+func (o *Outage) UnmarshalText(text []byte) error {
+	for candidate := NoOutage; candidate <= Hang; candidate++ {
+		if candidate.String() == string(text) {
+			*o = candidate
+			return nil
+		}
+	}
+	return errors.Errorf("unknown outage %q; allowed: none, refuse, hang", text)
+}
+
+// LogSettings are the settings of a Log that can change at run time.
+type LogSettings struct {
+	// Down fails all calls: refuse answers 503, hang gives no answer until the outage ends.
+	Down Outage `json:"down"`
+	// RetainFor is the age at which records expire; zero keeps them.
+	RetainFor validator.Duration `json:"retain_for"`
+	// RetainCount is the number of records kept in each stream; zero keeps all.
+	RetainCount int `json:"retain_count"`
+	// AppendDelay passes before an append takes effect. It takes effect even if the client has gone by then.
+	AppendDelay validator.Duration `json:"append_delay"`
+	ReadDelay   validator.Duration `json:"read_delay"`
+	// LoseAnswers is the number of coming appends that take effect and whose connection is then cut.
+	LoseAnswers int `json:"lose_answers"`
+	// LoseProbability is the probability, from 0 to 1, that the answer to an append is lost in this way.
+	LoseProbability float64 `json:"lose_probability"`
+	// AppendRate is the limit of appends per second; zero is no limit. An append waits for at most a second before it
+	// is refused with 429.
+	AppendRate float64 `json:"append_rate"`
+}
+
+func (s LogSettings) check() error {
+	switch {
+	case s.RetainFor < 0, s.RetainCount < 0, s.AppendDelay < 0, s.ReadDelay < 0, s.LoseAnswers < 0, s.AppendRate < 0:
+		return errors.New("durations, counts and rates must not be negative")
+	case s.LoseProbability < 0 || s.LoseProbability > 1:
+		return errors.Errorf("lose_probability is %g; allowed: 0 to 1", s.LoseProbability)
+	}
+	return nil
+}
+
+// Settings returns the settings in force.
+func (l *Log) Settings() LogSettings {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.settings
+}
+
+// Change edits the settings. Invalid settings change nothing and return an error.
+func (l *Log) Change(edit func(*LogSettings)) error {
+	return l.change(func(s *LogSettings) error { edit(s); return nil })
+}
+
+// ChangeJSON sets the fields that a JSON object holds and leaves the others. Unknown fields are errors.
+func (l *Log) ChangeJSON(data []byte) error {
+	return l.change(func(s *LogSettings) error {
+		decoder := json.NewDecoder(bytes.NewReader(data))
+		decoder.DisallowUnknownFields()
+		return errors.Wrap(decoder.Decode(s), "decode settings")
+	})
+}
+
+func (l *Log) change(edit func(*LogSettings) error) error {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	edited := l.settings
+	if err := edit(&edited); err != nil {
+		return err
+	}
+	if err := edited.check(); err != nil {
+		return err
+	}
+	l.settings = edited
+	l.setRate()
+	close(l.changed)
+	l.changed = make(chan struct{})
+	return nil
+}
+
+func (l *Log) setRate() {
+	limit := rate.Inf
+	if l.settings.AppendRate > 0 {
+		limit = rate.Limit(l.settings.AppendRate)
+	}
+	if limit != l.limiter.Limit() {
+		l.limiter = rate.NewLimiter(limit, max(1, int(l.settings.AppendRate/10)))
+	}
+}
+
+// outage returns the present outage and a channel that is closed when settings change.
+func (l *Log) outage() (Outage, <-chan struct{}) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.settings.Down == Refuse {
+		l.counts.Refused++
+	}
+	return l.settings.Down, l.changed
+}
