router: entry for callers; dispatcher: admission gate, ownership check, backend call

Cause: the two ends of a request's path were missing. Ruled out: retrying inside the HTTP client (it repeats keyed requests with an Idempotency-Key on its own, so bodies are hidden from it); noticing a killed owner only by the QUIC idle time-out (attempts end when the member leaves the state). Change: package router; parts of package dispatcher. Conclusion: not yet run end to end.

--- /dev/null
+++ b/dispatcher/backend.go
@@ -0,0 +1,102 @@
+package dispatcher
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"hibiscusline/applier"
+	"hibiscusline/encoder"
+)
+
+// Headers to the backend server.
+const (
+	HeaderService  = "Hibiscus-Service"
+	HeaderKey      = "Hibiscus-Key"
+	HeaderRange    = "Hibiscus-Range"
+	HeaderEpoch    = "Hibiscus-Epoch"
+	HeaderDeadline = "Hibiscus-Deadline-Ms"
+	HeaderParent   = "Hibiscus-Parent"
+)
+
+// crashProbeTimeout bounds the connection attempt that tells a crashed server from a broken connection.
+const crashProbeTimeout = 250 * time.Millisecond
+
+// backend calls the backend server.
+type backend struct {
+	client *http.Client
+	// lost is set after a failed connection and cleared by an announcement or a successful call.
+	lost atomic.Bool
+}
+
+func newBackend(connections int) *backend {
+	return &backend{client: &http.Client{
+		Transport: &http.Transport{
+			MaxConnsPerHost: connections, MaxIdleConnsPerHost: connections, IdleConnTimeout: time.Minute,
+			DisableCompression: true, ResponseHeaderTimeout: 0,
+			DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+}
+
+// opaqueBody hides the type of a body. The HTTP client sends a request with an Idempotency-Key header again on its own
+// when a connection breaks and the body is empty or known to be repeatable; that would run the request twice.
+type opaqueBody struct{ io.Reader }
+
+// Close does nothing; the body belongs to the stream.
+func (opaqueBody) Close() error { return nil }
+
+// exchange is one call to the backend server.
+type exchange struct {
+	response *http.Response
+	err      error
+	// connected means that the request may have reached the server.
+	connected bool
+}
+
+func (b *backend) call(ctx context.Context, address netip.AddrPort, head encoder.Request, a applier.Assignment, token string, body io.Reader) exchange {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	target := "http://" + address.String() + head.Path
+	request, err := http.NewRequestWithContext(ctx, head.Method, target, opaqueBody{body})
+	if err != nil {
+		return exchange{err: err}
+	}
+	request.ContentLength = head.Length
+	for name, values := range head.Header {
+		request.Header[name] = values
+	}
+	request.Header.Set(HeaderService, head.Service)
+	request.Header.Set(HeaderParent, token)
+	if head.Keyed {
+		request.Header.Set(HeaderKey, head.Key)
+		request.Header.Set(HeaderRange, a.Range.String())
+		request.Header.Set(HeaderEpoch, strconv.FormatUint(uint64(a.Epoch), 10))
+	}
+	if deadline, bounded := ctx.Deadline(); bounded {
+		remaining := max(time.Until(deadline).Milliseconds(), 1)
+		request.Header.Set(HeaderDeadline, strconv.FormatInt(remaining, 10))
+	}
+	response, err := b.client.Do(request)
+	return exchange{response: response, err: err, connected: connected.Load()}
+}
+
+// refusesConnections reports whether the server takes no connections now.
+func (b *backend) refusesConnections(address netip.AddrPort) bool {
+	connection, err := net.DialTimeout("tcp", address.String(), crashProbeTimeout)
+	if err != nil {
+		return true
+	}
+	// The probe sent nothing that closing could lose.
+	_ = connection.Close()
+	return false
+}
--- /dev/null
+++ b/dispatcher/gate.go
@@ -0,0 +1,137 @@
+package dispatcher
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"hibiscusline/admitter"
+	"hibiscusline/encoder"
+	"hibiscusline/timer"
+)
+
+// gate lets requests wait for slots: it turns the actions of an admitter into wake-ups.
+type gate struct {
+	mu       sync.Mutex
+	admitter *admitter.Admitter
+	next     uint64
+	waiting  map[uint64]chan admitter.Action
+	// finishedAt and finished give the rate of completed requests over the last window.
+	windowStart time.Duration
+	finished    int
+	rate        float64
+	slots       int
+	running     int
+}
+
+const rateWindow = time.Second
+
+func newGate(c admitter.Config) *gate {
+	return &gate{admitter: admitter.New(c), waiting: map[uint64]chan admitter.Action{}, slots: c.Slots}
+}
+
+// step passes an event on and wakes the requests that the actions name. The lock must be held.
+func (g *gate) step(e admitter.Event) {
+	for _, action := range g.admitter.Step(timer.Now(), e) {
+		var id uint64
+		switch a := action.(type) {
+		case admitter.Start:
+			id = a.ID
+			g.running++
+		case admitter.Refuse:
+			id = a.ID
+		}
+		if ch, present := g.waiting[id]; present {
+			ch <- action
+			delete(g.waiting, id)
+		}
+	}
+}
+
+// tick lets the admitter refuse requests whose deadline can't be met any more.
+func (g *gate) tick() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.step(admitter.Tick{})
+	now := timer.Now()
+	if span := now - g.windowStart; span >= rateWindow {
+		g.rate = float64(g.finished) / span.Seconds()
+		g.windowStart, g.finished = now, 0
+	}
+}
+
+func (g *gate) apply(e admitter.Event) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if r, ok := e.(admitter.Resize); ok {
+		g.slots = r.Slots
+	}
+	g.step(e)
+}
+
+// admit waits until the request may start. It returns the function that gives the slot back, or the refusal.
+func (g *gate) admit(ctx context.Context, a admitter.Arrive) (func(completed bool), *encoder.Response) {
+	g.mu.Lock()
+	g.next++
+	a.ID = g.next
+	decided := make(chan admitter.Action, 1)
+	g.waiting[a.ID] = decided
+	g.step(a)
+	g.mu.Unlock()
+	select {
+	case action := <-decided:
+		return g.decide(a.ID, action)
+	case <-ctx.Done():
+	}
+	g.mu.Lock()
+	g.step(admitter.Cancel{ID: a.ID})
+	g.mu.Unlock()
+	release, refusal := g.decide(a.ID, <-decided)
+	if refusal == nil {
+		release(false)
+		refusal = &encoder.Response{Outcome: encoder.NotRun, Reason: encoder.Cancelled}
+	}
+	return nil, refusal
+}
+
+func (g *gate) decide(id uint64, action admitter.Action) (func(bool), *encoder.Response) {
+	if refuse, refused := action.(admitter.Refuse); refused {
+		return nil, &encoder.Response{
+			Outcome: encoder.NotRun, Reason: reasonOf(refuse.Reason), RetryAfter: refuse.RetryAfter,
+		}
+	}
+	var once sync.Once
+	return func(completed bool) {
+		once.Do(func() {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			g.running--
+			if completed {
+				g.finished++
+			}
+			g.step(admitter.Finish{ID: id, Completed: completed})
+		})
+	}, nil
+}
+
+func reasonOf(r admitter.Reason) encoder.Reason {
+	switch r {
+	case admitter.QueueFull, admitter.DeadlineUnreachable:
+		return encoder.Overloaded
+	case admitter.Draining:
+		return encoder.BackendLost
+	case admitter.UnknownRank:
+		return encoder.NotReady
+	}
+	return encoder.Cancelled
+}
+
+// load describes the backend server for responses and lease messages.
+func (g *gate) load() encoder.Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return encoder.Load{
+		Running: g.running, Queued: len(g.waiting), Slots: g.slots,
+		LowestAdmitted: g.admitter.LowestAdmitted(), Rate: g.rate,
+	}
+}
--- /dev/null
+++ b/dispatcher/ownership.go
@@ -0,0 +1,164 @@
+package dispatcher
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"hibiscusline/applier"
+	"hibiscusline/encoder"
+	"hibiscusline/hasher"
+	"hibiscusline/timer"
+)
+
+// Lease says until when this process may serve as owner.
+type Lease interface {
+	// ValidUntil returns a time of the clock of package timer.
+	ValidUntil() time.Duration
+}
+
+// ownership checks that a key is owned here and tracks the requests that run on it, so that a move can wait for them.
+type ownership struct {
+	mu       sync.Mutex
+	moving   []hasher.Range
+	inFlight map[uint64]hasher.Position
+	next     uint64
+	idle     chan struct{}
+	// withheld holds, by epoch, the time before which a range taken over from an unfenced server is not served.
+	withheld map[applier.Offset]time.Duration
+}
+
+// grant is the permission to run one request.
+type grant struct {
+	assignment applier.Assignment
+	release    func()
+}
+
+// enter checks that this process owns a position now. The grant must be released when the request has ended.
+func (d *Dispatcher) enter(service string, p hasher.Position) (grant, encoder.Reason) {
+	assignment, reason := d.check(service, p)
+	if reason != encoder.NoReason {
+		return grant{}, reason
+	}
+	o := &d.ownership
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, r := range o.moving {
+		if r.Contains(p) {
+			return grant{}, encoder.Moving
+		}
+	}
+	o.next++
+	id := o.next
+	o.inFlight[id] = p
+	return grant{assignment: assignment, release: func() { o.leave(id) }}, encoder.NoReason
+}
+
+func (o *ownership) leave(id uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.inFlight, id)
+	if o.idle != nil {
+		close(o.idle)
+		o.idle = nil
+	}
+}
+
+// check checks state, lease and the waiting time after a take-over.
+func (d *Dispatcher) check(service string, p hasher.Position) (applier.Assignment, encoder.Reason) {
+	var a applier.Assignment
+	var found bool
+	var wait time.Duration
+	d.config.State.View(func(s *applier.State) {
+		a, found = s.Lookup(service, p)
+		wait = takeOverWait(s, service, a)
+	})
+	if !found || a.Owner != d.config.Self() {
+		return a, encoder.NotOwner
+	}
+	if timer.Now() >= d.config.Lease.ValidUntil() {
+		return a, encoder.NoLease
+	}
+	if wait > 0 && d.ownership.isWithheld(a.Epoch, wait) {
+		return a, encoder.Moving
+	}
+	return a, encoder.NoReason
+}
+
+// takeOverWait returns how long a successor must wait before it serves a range, since the lost owner's backend server
+// doesn't check grants and may still be running a request.
+func takeOverWait(s *applier.State, service string, a applier.Assignment) time.Duration {
+	if a.Cause != applier.TakenOver || len(a.Lineage) == 0 {
+		return 0
+	}
+	previous, known := s.Removal(a.Lineage[len(a.Lineage)-1])
+	if !known || previous.Fenced {
+		return 0
+	}
+	return s.Configuration.Services[service].MaxRequest.Value()
+}
+
+// isWithheld starts the waiting time of an epoch when it is first met.
+func (o *ownership) isWithheld(epoch applier.Offset, wait time.Duration) bool {
+	now := timer.Now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	until, met := o.withheld[epoch]
+	if !met {
+		until = now + wait
+		o.withheld[epoch] = until
+	}
+	return now < until
+}
+
+// Hold stops admitting requests of the ranges and waits until none of them runs. It returns the function that admits them
+// again.
+func (d *Dispatcher) Hold(ctx context.Context, ranges []hasher.Range) (func(), error) {
+	o := &d.ownership
+	o.mu.Lock()
+	o.moving = append(o.moving, ranges...)
+	o.mu.Unlock()
+	resume := func() { o.resume(ranges) }
+	for {
+		o.mu.Lock()
+		busy := o.runningIn(ranges)
+		if o.idle == nil {
+			o.idle = make(chan struct{})
+		}
+		idle := o.idle
+		o.mu.Unlock()
+		if !busy {
+			return resume, nil
+		}
+		select {
+		case <-idle:
+		case <-ctx.Done():
+			resume()
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (o *ownership) runningIn(ranges []hasher.Range) bool {
+	for _, p := range o.inFlight {
+		for _, r := range ranges {
+			if r.Contains(p) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (o *ownership) resume(ranges []hasher.Range) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, r := range ranges {
+		for i, m := range o.moving {
+			if m == r {
+				o.moving = append(o.moving[:i], o.moving[i+1:]...)
+				break
+			}
+		}
+	}
+}
--- /dev/null
+++ b/router/forward.go
@@ -0,0 +1,187 @@
+package router
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"hibiscusline/applier"
+	"hibiscusline/encoder"
+)
+
+// Body is a request's body for one attempt.
+type Body = io.Reader
+
+// ResponseBody is the body of an answer.
+type ResponseBody = io.ReadCloser
+
+// notRunYet is the answer of a call that was never sent.
+func notRunYet(reason encoder.Reason) encoder.Response {
+	return encoder.Response{Outcome: encoder.NotRun, Reason: reason}
+}
+
+// forward sends a call until it is answered, refused for good, or out of time.
+//
+// A call whose attempt has an unknown outcome is sent again only if it is repeatable, and its outcome then stays unknown
+// until an attempt is answered. A call that was not run is sent again while the reason is transient.
+func (rt *Router) forward(ctx context.Context, c *call) (encoder.Response, ResponseBody) {
+	last := notRunYet(encoder.NoOwner)
+	uncertain := false
+	var tried []applier.MemberID
+	for attempt := 0; ; attempt++ {
+		changed := rt.config.State.Changed()
+		m, reason := rt.target(c, tried)
+		response := notRunYet(reason)
+		var body ResponseBody
+		sent := reason == encoder.NoReason
+		if sent {
+			response, body = rt.attempt(ctx, c, m)
+		}
+		if response.Outcome == encoder.Answered && !retriableAnswer(c, response) {
+			return response, body
+		}
+		if body != nil {
+			rt.discard(body)
+		}
+		last = response
+		if response.Outcome != encoder.NotRun {
+			uncertain = true
+		}
+		if sent && !c.head.Keyed {
+			tried = append(tried, m.ID)
+		}
+		if !rt.mayRetry(ctx, c, response, sent) || !rt.pause(ctx, response, attempt, changed) {
+			return settle(last, uncertain), nil
+		}
+	}
+}
+
+// settle makes sure that a call with an uncertain attempt is never reported as not run.
+func settle(r encoder.Response, uncertain bool) encoder.Response {
+	if uncertain {
+		r.Outcome = encoder.Unknown
+	}
+	return r
+}
+
+func (rt *Router) discard(body ResponseBody) {
+	// The attempt is given up; closing only releases its stream.
+	_ = body.Close()
+}
+
+// retriableAnswer reports whether a backend server's answer says that it shed the request.
+func retriableAnswer(c *call, r encoder.Response) bool {
+	return c.repeatable && r.Status == http.StatusServiceUnavailable && !c.head.Keyed && !r.Replayed
+}
+
+func (rt *Router) mayRetry(ctx context.Context, c *call, r encoder.Response, sent bool) bool {
+	if ctx.Err() != nil || !time.Now().Before(c.deadline) {
+		return false
+	}
+	switch r.Outcome {
+	case encoder.NotRun:
+		return r.Reason.Transient()
+	case encoder.Unknown, encoder.Answered:
+		if r.Reason == encoder.ServerCrashed {
+			c.head.Suspected = true
+		}
+		return c.repeatable && sent && rt.config.Budget.Retry()
+	}
+	return false
+}
+
+// pause waits for the next attempt: until the state changes where that can help, and for the back-off at most. It
+// reports false when the call's time is over.
+func (rt *Router) pause(ctx context.Context, r encoder.Response, attempt int, changed <-chan struct{}) bool {
+	if r.Outcome != encoder.NotRun {
+		changed = nil
+	}
+	timer := time.NewTimer(rt.config.Backoff(attempt))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-changed:
+	case <-timer.C:
+	}
+	return true
+}
+
+// attempt sends a call to one member.
+func (rt *Router) attempt(ctx context.Context, c *call, m applier.Member) (encoder.Response, ResponseBody) {
+	if wait, refused := rt.hints.refuses(m.ID, c.rank.Urgency, time.Now()); refused && !c.head.Nested {
+		return encoder.Response{Outcome: encoder.NotRun, Reason: encoder.Overloaded, RetryAfter: wait}, nil
+	}
+	reader, whole := c.body.reader()
+	if !whole {
+		return notRunYet(encoder.RetriesExhausted), nil
+	}
+	head := c.head
+	head.Remaining = time.Until(c.deadline)
+	head.Applied = rt.config.State.Applied()
+	head.Target = m.ID
+	if head.Remaining <= 0 {
+		return notRunYet(encoder.DeadlineExceeded), nil
+	}
+	ctx, release := rt.removed.watch(ctx, rt.config.State, m.ID)
+	started := time.Now()
+	rt.config.Chooser.Started(m.ID)
+	response, body := rt.config.Exchanger.Exchange(ctx, m, head, reader)
+	rt.hints.learn(m.ID, response, time.Now())
+	if body == nil {
+		release()
+		rt.config.Chooser.Finished(m.ID, response, time.Since(started))
+		return response, nil
+	}
+	return response, &observedBody{ResponseBody: body, done: func() {
+		release()
+		rt.config.Chooser.Finished(m.ID, response, time.Since(started))
+	}}
+}
+
+// observedBody reports when an answer has been read.
+type observedBody struct {
+	ResponseBody
+	done func()
+}
+
+// Close closes the body and reports.
+func (b *observedBody) Close() error {
+	err := b.ResponseBody.Close()
+	if b.done != nil {
+		b.done()
+		b.done = nil
+	}
+	return err
+}
+
+const copyBuffer = 32 << 10
+
+// copyFlushing copies a body and flushes after each part, so that a streaming answer is not held back.
+func copyFlushing(w http.ResponseWriter, body io.Reader) (int64, error) {
+	buffer := make([]byte, copyBuffer)
+	controller := http.NewResponseController(w)
+	var copied int64
+	for {
+		n, err := body.Read(buffer)
+		if n > 0 {
+			written, writeErr := w.Write(buffer[:n])
+			copied += int64(written)
+			if writeErr != nil {
+				return copied, writeErr
+			}
+		}
+		if err == io.EOF {
+			return copied, nil
+		}
+		if err != nil {
+			return copied, err
+		}
+		if n < copyBuffer {
+			// A writer without flushing delivers when the handler returns.
+			_ = controller.Flush()
+		}
+	}
+}
+
--- /dev/null
+++ b/router/removals.go
@@ -0,0 +1,79 @@
+package router
+
+import (
+	"context"
+	"sync"
+
+	"hibiscusline/applier"
+	"hibiscusline/follower"
+)
+
+// removals cancels attempts at members that leave the state. QUIC alone would notice a killed process only after its
+// idle time-out. The zero value is ready for use.
+type removals struct {
+	mu       sync.Mutex
+	watching bool
+	members  map[applier.MemberID]*memberWatch
+}
+
+type memberWatch struct {
+	context context.Context
+	cancel  context.CancelFunc
+	users   int
+}
+
+// watch returns a context that also ends when the member leaves the state. The returned function releases it.
+func (v *removals) watch(parent context.Context, f *follower.Follower, id applier.MemberID) (context.Context, func()) {
+	v.mu.Lock()
+	if v.members == nil {
+		v.members = map[applier.MemberID]*memberWatch{}
+	}
+	w, present := v.members[id]
+	if !present {
+		w = &memberWatch{}
+		w.context, w.cancel = context.WithCancel(context.Background())
+		v.members[id] = w
+	}
+	w.users++
+	if !v.watching {
+		v.watching = true
+		go v.follow(f)
+	}
+	v.mu.Unlock()
+	ctx, cancel := context.WithCancel(parent)
+	stop := context.AfterFunc(w.context, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		w.users--
+		if w.users == 0 && v.members[id] == w {
+			w.cancel()
+			delete(v.members, id)
+		}
+	}
+}
+
+// follow cancels the watches of removed members. It ends when nothing is watched.
+func (v *removals) follow(f *follower.Follower) {
+	for {
+		changed := f.Changed()
+		v.mu.Lock()
+		if len(v.members) == 0 {
+			v.watching = false
+			v.mu.Unlock()
+			return
+		}
+		f.View(func(s *applier.State) {
+			for id, w := range v.members {
+				if _, present := s.Members[id]; !present {
+					w.cancel()
+					delete(v.members, id)
+				}
+			}
+		})
+		v.mu.Unlock()
+		<-changed
+	}
+}
