--- /dev/null
+++ b/loader/daemon.go
@@ -0,0 +1,176 @@
+package loader
+
+import (
+	"fmt"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// DaemonSettings are the settings of one hibiscusd.
+type DaemonSettings struct {
+	// Name is the name of the process for operators. It stays the same over restarts.
+	Name string `json:"name"`
+	// Zone is the availability zone of the instance.
+	Zone string `json:"zone"`
+	// Listen is where callers reach the process over HTTP.
+	Listen netip.AddrPort `json:"listen"`
+	// QUIC is where other processes reach this one over UDP. It is published, so it must name an address.
+	QUIC netip.AddrPort `json:"quic"`
+	// Local is the HTTP endpoint for the backend server beside the process. It is on loopback, since it takes
+	// announcements from anyone who can reach it.
+	Local netip.AddrPort `json:"local"`
+	// Admin is the HTTP endpoint for operators: metrics, dump, status, drain and move. It is published.
+	Admin netip.AddrPort `json:"admin"`
+	Log   LogSettings    `json:"log"`
+	// Peers are QUIC addresses of processes from which the state is learned when the log is down.
+	Peers  []netip.AddrPort `json:"peers"`
+	TLS    TLSSettings      `json:"tls"`
+	Limits LimitSettings    `json:"limits"`
+	// DrainTimeout bounds the time that a planned stop waits for requests in flight.
+	DrainTimeout time.Duration `json:"drain_timeout"`
+}
+
+// LogSettings say where the platform's log is.
+type LogSettings struct {
+	Address      netip.AddrPort `json:"address"`
+	Stream       string         `json:"stream"`
+	PollInterval time.Duration  `json:"poll_interval"`
+}
+
+// TLSSettings are paths of PEM files.
+type TLSSettings struct {
+	// CA holds the certificates that the other processes' certificates are checked against.
+	CA          string `json:"ca"`
+	Certificate string `json:"certificate"`
+	Key         string `json:"key"`
+}
+
+// LimitSettings bound what callers can make the process hold.
+type LimitSettings struct {
+	MaxHeaderBytes int `json:"max_header_bytes"`
+	// ReplayLimit is the largest request body, in bytes, that is kept for a retry.
+	ReplayLimit int `json:"replay_limit"`
+	// QueueLimit is the largest number of requests that wait for the backend server.
+	QueueLimit int `json:"queue_limit"`
+	// DefaultTimeout applies to requests without Hibiscus-Timeout-Ms.
+	DefaultTimeout time.Duration `json:"default_timeout"`
+	// MaxConnections is the largest number of open connections of callers.
+	MaxConnections int `json:"max_connections"`
+}
+
+// DefaultDaemon returns the settings that hold where a file says nothing. Name, zone, addresses other than Local, and
+// TLS files have no default.
+func DefaultDaemon() DaemonSettings {
+	return DaemonSettings{
+		Local: netip.MustParseAddrPort("127.0.0.1:7400"),
+		Log:   LogSettings{Stream: "hibiscusline", PollInterval: 100 * time.Millisecond},
+		Limits: LimitSettings{
+			MaxHeaderBytes: 32 << 10, ReplayLimit: 64 << 10, QueueLimit: 1024,
+			DefaultTimeout: 10 * time.Second, MaxConnections: 4096,
+		},
+		DrainTimeout: 30 * time.Second,
+	}
+}
+
+// Daemon reads the settings file of a hibiscusd and fills in defaults.
+func Daemon(path string) (DaemonSettings, error) {
+	s := DefaultDaemon()
+	if err := File(path, &s); err != nil {
+		return DaemonSettings{}, err
+	}
+	return s, nil
+}
+
+// Bounds of settings. They refuse values that can only be slips, such as a poll interval that floods the log.
+const (
+	minPollInterval = 10 * time.Millisecond
+	maxPollInterval = time.Minute
+	maxDuration     = time.Hour
+	maxBytes        = 16 << 20
+	maxCount        = 1 << 20
+)
+
+// Check returns every field whose value can't be used.
+func (s *DaemonSettings) Check() []Problem {
+	var c fieldChecker
+	c.name("name", s.Name)
+	c.name("zone", s.Zone)
+	c.address("listen", s.Listen)
+	c.published("quic", s.QUIC)
+	c.address("local", s.Local)
+	c.require(!s.Local.IsValid() || s.Local.Addr().IsLoopback(), "local", s.Local.String(), "a loopback address, such as 127.0.0.1")
+	c.published("admin", s.Admin)
+	c.distinct(map[string]netip.AddrPort{"listen": s.Listen, "local": s.Local, "admin": s.Admin}, "listen", "local", "admin")
+	c.published("log.address", s.Log.Address)
+	c.name("log.stream", s.Log.Stream)
+	c.duration("log.poll_interval", s.Log.PollInterval, minPollInterval, maxPollInterval)
+	for i, peer := range s.Peers {
+		c.published(fmt.Sprintf("peers[%d]", i), peer)
+	}
+	c.file("tls.ca", s.TLS.CA)
+	c.file("tls.certificate", s.TLS.Certificate)
+	c.file("tls.key", s.TLS.Key)
+	c.count("limits.max_header_bytes", s.Limits.MaxHeaderBytes, 1<<10, maxBytes)
+	c.count("limits.replay_limit", s.Limits.ReplayLimit, 0, maxBytes)
+	c.count("limits.queue_limit", s.Limits.QueueLimit, 1, maxCount)
+	c.duration("limits.default_timeout", s.Limits.DefaultTimeout, time.Millisecond, maxDuration)
+	c.count("limits.max_connections", s.Limits.MaxConnections, 1, maxCount)
+	c.duration("drain_timeout", s.DrainTimeout, 0, maxDuration)
+	return c.problems
+}
+
+type fieldChecker struct{ problems []Problem }
+
+func (c *fieldChecker) require(holds bool, path, value, allowed string) {
+	if !holds {
+		c.problems = append(c.problems, Problem{Path: path, Value: value, Allowed: allowed})
+	}
+}
+
+func (c *fieldChecker) name(path, value string) {
+	invalid := strings.IndexFunc(value, func(r rune) bool {
+		return (r < 'a' || r > 'z') && (r < '0' || r > '9') && r != '_' && r != '-'
+	})
+	shown := strconv.Quote(value)
+	if value == "" {
+		shown = "missing"
+	}
+	c.require(value != "" && len(value) <= 64 && invalid < 0, path, shown, "1 to 64 characters of a-z, 0-9, _ and -")
+}
+
+func (c *fieldChecker) file(path, value string) {
+	c.require(value != "", path, "missing", "the path of a PEM file")
+}
+
+func (c *fieldChecker) address(path string, a netip.AddrPort) {
+	if !a.IsValid() {
+		c.require(false, path, "missing", textForms[addrPortType])
+		return
+	}
+	c.require(a.Port() != 0, path, a.String(), "a port from 1 to 65535")
+}
+
+// published checks an address that other processes use to reach this one.
+func (c *fieldChecker) published(path string, a netip.AddrPort) {
+	c.address(path, a)
+	c.require(!a.IsValid() || !a.Addr().IsUnspecified(), path, a.String(), "the address of one interface, not of all")
+}
+
+func (c *fieldChecker) distinct(addresses map[string]netip.AddrPort, paths ...string) {
+	for i, path := range paths {
+		for _, other := range paths[:i] {
+			same := addresses[path].IsValid() && addresses[path] == addresses[other]
+			c.require(!same, path, addresses[path].String(), "an address that "+other+" doesn't have")
+		}
+	}
+}
+
+func (c *fieldChecker) duration(path string, value, least, most time.Duration) {
+	c.require(value >= least && value <= most, path, value.String(), fmt.Sprintf("%s to %s", least, most))
+}
+
+func (c *fieldChecker) count(path string, value, least, most int) {
+	c.require(value >= least && value <= most, path, strconv.Itoa(value), fmt.Sprintf("%d to %d", least, most))
+}
--- a/loader/scalar.go
+++ b/loader/scalar.go
@@ -13,12 +13,13 @@
 
 var (
 	durationType = reflect.TypeFor[time.Duration]()
+	addrPortType = reflect.TypeFor[netip.AddrPort]()
 
 	// textForms says what types that read themselves from text accept.
 	textForms = map[reflect.Type]string{
-		reflect.TypeFor[netip.Addr]():     `an IP address in quotes, such as "10.0.0.1"`,
-		reflect.TypeFor[netip.AddrPort](): `an IP address with port in quotes, such as "10.0.0.1:7000"`,
-		reflect.TypeFor[netip.Prefix]():   `an IP prefix in quotes, such as "10.0.0.0/8"`,
+		reflect.TypeFor[netip.Addr]():   `an IP address in quotes, such as "10.0.0.1"`,
+		addrPortType:                    `an IP address with port in quotes, such as "10.0.0.1:7000"`,
+		reflect.TypeFor[netip.Prefix](): `an IP prefix in quotes, such as "10.0.0.0/8"`,
 	}
 )
 
