--- a/validator/check.go
+++ b/validator/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 )
@@ -15,11 +16,21 @@
 	Value  string
 	// Allowed says what the field may hold.
 	Allowed string
+	// Line is the line of the value in the document that was parsed, or zero when it is not known.
+	Line int
 }
 
 // String returns the problem in one line.
 func (p Problem) String() string {
-	return fmt.Sprintf("%s: field %s is %s; allowed: %s", p.Object, p.Field, p.Value, p.Allowed)
+	text := p.Object + ": "
+	if p.Field != "" {
+		text += "field " + p.Field + " "
+	}
+	text += fmt.Sprintf("is %s; allowed: %s", p.Value, p.Allowed)
+	if p.Line > 0 {
+		text = fmt.Sprintf("line %d: %s", p.Line, text)
+	}
+	return text
 }
 
 // Problems is the error of a configuration that failed its check. It holds every problem found.
@@ -38,11 +49,16 @@
 const (
 	MaxInitialRanges = 65536
 	maxObjects       = 10000
+	maxText          = 1024
 )
 
+// plain is a value that a problem shows without quotes, because it is a description.
+type plain string
+
 // Check checks a configuration as a unit. The error, if any, is of type Problems.
 func Check(c Configuration) error {
 	k := &checker{configuration: c}
+	k.checkCounts()
 	k.checkRanks()
 	k.checkServices()
 	k.checkRules()
@@ -61,14 +77,39 @@
 }
 
 func (k *checker) require(holds bool, object, field string, value any, allowed string) {
-	if !holds {
-		k.problems = append(k.problems, Problem{Object: object, Field: field, Value: fmt.Sprintf("%#v", value), Allowed: allowed})
+	if holds {
+		return
 	}
+	shown := fmt.Sprintf("%#v", value)
+	if description, ok := value.(plain); ok {
+		shown = string(description)
+	}
+	k.problems = append(k.problems, Problem{Object: object, Field: field, Value: shown, Allowed: allowed})
 }
 
 func (k *checker) requireName(object, name string) {
-	valid := name != "" && len(name) <= 64 && strings.IndexFunc(name, invalidNameRune) < 0
-	k.require(valid, object, "name", name, "1 to 64 characters of a-z, 0-9, _ and -")
+	k.require(validName(name), object, "name", name, nameForm)
+}
+
+const nameForm = "1 to 64 characters of a-z, 0-9, _ and -"
+
+func validName(name string) bool {
+	return name != "" && len(name) <= 64 && strings.IndexFunc(name, invalidNameRune) < 0
+}
+
+func (k *checker) checkCounts() {
+	c := k.configuration
+	for _, section := range []struct {
+		name  string
+		count int
+	}{
+		{"services", len(c.Services)},
+		{"rules", len(c.Rules)},
+		{"key_ranges", len(c.KeyRanges)},
+		{"placements", len(c.Placements)},
+	} {
+		k.require(section.count <= maxObjects, "configuration", section.name, section.count, fmt.Sprintf("at most %d", maxObjects))
+	}
 }
 
 func invalidNameRune(r rune) bool {
@@ -92,7 +133,7 @@
 		k.requireName(object, name)
 		k.require(r.Floor >= 0 && r.Floor <= 1, object, "floor", r.Floor, "0 to 1")
 		k.require(r.Target > 0, object, "target", r.Target.Value().String(), "a positive duration")
-		k.require(r.Weight >= 0, object, "weight", r.Weight, "0 or more")
+		k.require(r.Weight >= 0 && !math.IsInf(r.Weight, 1), object, "weight", r.Weight, "0 or more")
 		k.require(r.Urgency >= 0 && r.Urgency <= 255, object, "urgency", r.Urgency, "0 to 255")
 		other, taken := urgencies[r.Urgency]
 		k.require(!taken, object, "urgency", r.Urgency, "a value that rank "+other+" doesn't have")
@@ -105,12 +146,13 @@
 
 func (k *checker) checkServices() {
 	c := k.configuration
-	k.require(len(c.Services) <= maxObjects, "configuration", "services", len(c.Services), fmt.Sprintf("at most %d", maxObjects))
 	for _, name := range slices.Sorted(maps.Keys(c.Services)) {
 		s, object := c.Services[name], "service "+name
 		k.requireName(object, name)
 		k.require(s.MaxRequest > 0, object, "max_request", s.MaxRequest.Value().String(), "a positive duration")
-		k.require(s.IdempotencyWindow >= 0, object, "idempotency_window", s.IdempotencyWindow.Value().String(), "0 or a positive duration")
+		// Within a shorter window, a repeated order could run while the first one is still running.
+		k.require(s.IdempotencyWindow == 0 || s.IdempotencyWindow >= s.MaxRequest, object, "idempotency_window",
+			s.IdempotencyWindow.Value().String(), "0, or at least max_request")
 		if s.Keyed {
 			k.require(s.InitialRanges >= 1 && s.InitialRanges <= MaxInitialRanges, object, "initial_ranges", s.InitialRanges,
 				fmt.Sprintf("1 to %d for a keyed service", MaxInitialRanges))
@@ -125,9 +167,9 @@
 func (k *checker) checkRules() {
 	c := k.configuration
 	seen := map[string]bool{}
-	covered := map[string]bool{}
-	for _, r := range c.Rules {
-		object := "rule " + r.Name
+	matchers := map[matcher]string{}
+	for i, r := range c.Rules {
+		object := ruleObject(i, r)
 		k.requireName(object, r.Name)
 		k.require(!seen[r.Name], object, "name", r.Name, "a name that no other rule has")
 		seen[r.Name] = true
@@ -135,26 +177,57 @@
 		k.require(service, object, "service", r.Service, names(c.Services))
 		_, rank := c.Ranks[r.Rank]
 		k.require(rank, object, "rank", r.Rank, names(c.Ranks))
-		k.require(r.PathPrefix == "" || strings.HasPrefix(r.PathPrefix, "/"), object, "path_prefix", r.PathPrefix, "empty or starting with /")
-		k.require(r.Method == strings.ToUpper(r.Method), object, "method", r.Method, "an HTTP method in capitals, or empty")
-		if r.Method == "" && r.PathPrefix == "" {
-			covered[r.Service] = true
-		}
+		k.require(r.PathPrefix == "" || strings.HasPrefix(r.PathPrefix, "/") && len(r.PathPrefix) <= maxText, object, "path_prefix",
+			r.PathPrefix, fmt.Sprintf("empty, or starting with / and at most %d bytes", maxText))
+		k.require(strings.IndexFunc(r.Method, func(r rune) bool { return r < 'A' || r > 'Z' }) < 0, object, "method", r.Method,
+			"an HTTP method in capitals, or empty for all")
+		k.checkReachable(object, r, matchers)
 	}
 	for _, name := range slices.Sorted(maps.Keys(c.Services)) {
-		k.require(covered[name], "service "+name, "rules", "without a rule for all requests",
+		_, covered := matchers[matcher{service: name}]
+		k.require(covered, "service "+name, "rules", plain("without a rule for all requests"),
 			"a last rule for the service with neither method nor path_prefix")
 	}
 }
 
+// matcher is the part of a rule that selects requests.
+type matcher struct{ service, method, prefix string }
+
+// checkReachable reports a rule behind one of the same service that matches all of its requests. It looks up every
+// prefix of the rule's path, which keeps the check linear in the number of rules.
+func (k *checker) checkReachable(object string, r Rule, matchers map[matcher]string) {
+	for end := range min(len(r.PathPrefix), maxText) + 1 {
+		for _, method := range []string{"", r.Method} {
+			earlier, hidden := matchers[matcher{r.Service, method, r.PathPrefix[:end]}]
+			if hidden {
+				k.require(false, object, "position", plain("behind rule "+earlier+", which matches all of its requests"),
+					"a position before rule "+earlier)
+				return
+			}
+		}
+	}
+	matchers[matcher{r.Service, r.Method, r.PathPrefix}] = r.Name
+}
+
+func ruleObject(index int, r Rule) string {
+	if r.Name == "" {
+		return fmt.Sprintf("rule number %d", index+1)
+	}
+	return "rule " + r.Name
+}
+
 func (k *checker) checkKeyRanges() {
 	c := k.configuration
+	named := map[KeyRange]string{}
 	for _, name := range slices.Sorted(maps.Keys(c.KeyRanges)) {
 		r, object := c.KeyRanges[name], "key_range "+name
 		k.requireName(object, name)
 		s, present := c.Services[r.Service]
 		k.require(present && s.Keyed, object, "service", r.Service, "a keyed service")
-		k.require(r.Key != "", object, "key", r.Key, "a key that is not empty")
+		k.require(r.Key != "" && len(r.Key) <= maxText, object, "key", r.Key, fmt.Sprintf("a key of 1 to %d bytes", maxText))
+		other, taken := named[r]
+		k.require(!taken, object, "key", r.Key, "a key that key_range "+other+" doesn't name")
+		named[r] = name
 	}
 }
 
@@ -164,8 +237,9 @@
 		p, object := c.Placements[name], "placement "+name
 		k.requireName(object, name)
 		k.require(p.MaxMovesPerMinute >= 0, object, "max_moves_per_minute", p.MaxMovesPerMinute, "0 or more")
-		for _, zone := range p.Zones {
-			k.require(zone != "", object, "zones", zone, "zone names that are not empty")
+		for i, zone := range p.Zones {
+			k.require(validName(zone), object, "zones", zone, "zone names: "+nameForm)
+			k.require(!slices.Contains(p.Zones[:i], zone), object, "zones", zone, "each zone once")
 		}
 	}
 }
@@ -177,7 +251,8 @@
 		k.require(len(p.Operators) > 1, "policy", "operators", len(p.Operators), "at least two when require_approval is true")
 	}
 	for i, name := range p.Operators {
-		k.require(name != "" && !slices.Contains(p.Operators[:i], name), "policy", "operators", name, "distinct names that are not empty")
+		k.require(name != "" && len(name) <= maxText && !slices.Contains(p.Operators[:i], name), "policy", "operators", name,
+			"distinct names that are not empty")
 	}
 }
 
