admitter: slot admission by rank with floors and deadlines

The change adds the deterministic core: strict urgency, floors in slot-seconds as deficits that idle ranks can't save up, refusal of requests that can't finish before their deadline, reserved slots for nested requests, suspects that run alone for at most a tenth of the time, and two baseline policies.

First-come order was ruled out for overload: every request would start just too late. The youngest goes first once the oldest may miss its deadline.

--- /dev/null
+++ b/admitter/flood_test.go
@@ -0,0 +1,180 @@
+package admitter
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// class is the load of one rank in a simulation in virtual time.
+type class struct {
+	Rank
+	rate    float64 // requests/s
+	service time.Duration
+	fixed   bool
+	alone   float64 // share of requests that run alone
+}
+
+// outcome is what became of a class after the first two seconds.
+type outcome struct {
+	arrived, inTime, late, refused int
+	slotTime                       time.Duration
+}
+
+type job struct {
+	id       uint64
+	class    int
+	service  time.Duration
+	arrived  time.Duration
+	finishAt time.Duration
+}
+
+const warmUp = 2 * time.Second
+
+// simulate offers Poisson arrivals for a number of virtual seconds.
+func simulate(c Config, classes []class, seconds int) []outcome {
+	for _, k := range classes {
+		c.Ranks = append(c.Ranks, k.Rank)
+	}
+	a := New(c)
+	random := rand.New(rand.NewPCG(1, 2))
+	results, jobs, running := make([]outcome, len(classes)), map[uint64]*job{}, []*job{}
+	var id uint64
+	handle := func(now time.Duration, actions []Action) {
+		for _, action := range actions {
+			switch action := action.(type) {
+			case Start:
+				j := jobs[action.ID]
+				j.finishAt = now + j.service
+				running = append(running, j)
+			case Refuse:
+				results[jobs[action.ID].class].refused++
+				delete(jobs, action.ID)
+			}
+		}
+	}
+	const tick = 500 * time.Microsecond
+	for now := time.Duration(0); now < time.Duration(seconds)*time.Second; now += tick {
+		left := running[:0:0]
+		finished := []*job{}
+		for _, j := range running {
+			if j.finishAt <= now {
+				finished = append(finished, j)
+			} else {
+				left = append(left, j)
+			}
+		}
+		running = left
+		for _, j := range finished {
+			record(&results[j.class], classes[j.class], j)
+			delete(jobs, j.id)
+			handle(now, a.Step(now, Finish{ID: j.id, Completed: true}))
+		}
+		for i, k := range classes {
+			for range arrivals(random, k.rate*tick.Seconds()) {
+				id++
+				service := k.service
+				if !k.fixed {
+					service = time.Duration(random.ExpFloat64() * float64(k.service))
+				}
+				jobs[id] = &job{id: id, class: i, service: service, arrived: now}
+				results[i].arrived++
+				handle(now, a.Step(now, Arrive{ID: id, Rank: k.Name, Deadline: now + k.Target, Alone: random.Float64() < k.alone}))
+			}
+		}
+		handle(now, a.Step(now, Tick{}))
+	}
+	return results
+}
+
+func record(o *outcome, k class, j *job) {
+	if j.finishAt < warmUp {
+		return
+	}
+	o.slotTime += j.service
+	if j.finishAt-j.arrived <= k.Target {
+		o.inTime++
+	} else {
+		o.late++
+	}
+}
+
+func arrivals(random *rand.Rand, mean float64) int {
+	count, product := 0, random.Float64()
+	for limit := math.Exp(-mean); product > limit; count++ {
+		product *= random.Float64()
+	}
+	return count
+}
+
+// capacity is 12 slots / 10 ms = 1200 requests/s in these tests.
+func classes(orders, stock, patterns float64) []class {
+	return []class{
+		{Rank: Rank{Name: "order", Urgency: 0, Floor: 0.2, Target: 150 * time.Millisecond}, rate: orders, service: 10 * time.Millisecond},
+		{Rank: Rank{Name: "stock", Urgency: 1, Floor: 0.2, Target: 250 * time.Millisecond}, rate: stock, service: 10 * time.Millisecond},
+		{Rank: Rank{Name: "pattern", Urgency: 2, Floor: 0.1, Target: time.Second}, rate: patterns, service: 10 * time.Millisecond},
+	}
+}
+
+// TestFloods guards the targets of the design page: service of urgent work in a flood of the least urgent, goodput and
+// floors in a flood of the most urgent.
+func TestFloods(t *testing.T) {
+	const seconds = 22
+	capacity := 12 * (seconds*time.Second - warmUp)
+	config := Config{Slots: 12, QueueLimit: 200}
+	t.Run("least urgent", func(t *testing.T) {
+		o := simulate(config, classes(200, 300, 6000), seconds)
+		t.Logf("%+v", o)
+		require.GreaterOrEqual(t, float64(o[0].inTime), 0.99*200*20*0.97, "orders kept 99%% of their rate, less the spread of arrivals")
+		require.Less(t, float64(o[0].late+o[0].refused), 0.01*float64(o[0].arrived))
+		require.Less(t, float64(o[1].late+o[1].refused), 0.02*float64(o[1].arrived))
+	})
+	t.Run("most urgent", func(t *testing.T) {
+		o := simulate(config, classes(6000, 600, 600), seconds)
+		t.Logf("%+v", o)
+		goodput := 0
+		for _, k := range o {
+			goodput += k.inTime
+		}
+		require.Greater(t, float64(goodput), 0.95*1200*20)
+		require.Greater(t, float64(o[1].slotTime), 0.97*0.2*float64(capacity))
+		require.Greater(t, float64(o[2].slotTime), 0.97*0.1*float64(capacity))
+	})
+	t.Run("long requests", func(t *testing.T) {
+		c := classes(600, 6000, 100)
+		c[0].service, c[0].Target = 200*time.Millisecond, 2*time.Second
+		c[2].service, c[2].Target = 100*time.Millisecond, 2*time.Second
+		o := simulate(config, c, seconds)
+		t.Logf("%+v", o)
+		require.Greater(t, float64(o[1].slotTime), 0.95*0.2*float64(capacity))
+		require.Greater(t, float64(o[2].slotTime), 0.95*0.1*float64(capacity))
+	})
+	t.Run("suspects", func(t *testing.T) {
+		c := classes(400, 0, 600)
+		c[2].alone = 1
+		o := simulate(config, c, seconds)
+		t.Logf("%+v", o)
+		require.Greater(t, float64(o[0].inTime), 0.85*400*20, "requests that run alone must leave most of the time to others")
+		require.Positive(t, o[2].inTime)
+	})
+}
+
+// TestIdleCredit guards against a rank that saves up its floor while idle and then blocks urgent work with a burst.
+func TestIdleCredit(t *testing.T) {
+	a := New(Config{Slots: 4, Ranks: []Rank{{Name: "order"}, {Name: "pattern", Urgency: 1, Floor: 0.5}}, QueueLimit: 100})
+	a.Step(0, Arrive{ID: 1, Rank: "pattern"})
+	a.Step(10*time.Millisecond, Finish{ID: 1, Completed: true})
+	now := time.Hour
+	for id := uint64(10); id < 40; id++ {
+		a.Step(now, Arrive{ID: id, Rank: "order"})
+	}
+	for id := uint64(110); id < 140; id++ {
+		a.Step(now, Arrive{ID: id, Rank: "pattern"})
+	}
+	for id := uint64(10); id < 20; id++ {
+		require.Equal(t, []Action{Start{ID: id + 4}}, a.Step(now, Finish{ID: id, Completed: true}))
+	}
+}
--- /dev/null
+++ b/admitter/rank.go
@@ -0,0 +1,107 @@
+package admitter
+
+import (
+	"math"
+	"time"
+)
+
+// busyWindow is the time constant of the average of busy slots, in the range of a few service times.
+const busyWindow = time.Second
+
+// queue is the state of one rank. A queue whose rank was removed lives on until its running requests have finished.
+type queue struct {
+	Rank
+	service estimate
+	nested  []*entry
+	plain   []*entry
+	running int
+	// credit is slot time that the rank is owed. It is charged at a start by the expected service time and corrected at
+	// the end of the request.
+	credit time.Duration
+	// busy is the recent average number of running requests.
+	busy     float64
+	started  uint64
+	refused  [reasonCount]uint64
+	finished uint64
+}
+
+type entry struct {
+	Arrive
+	queue   *queue
+	running bool
+	started time.Duration
+	charged time.Duration
+}
+
+func (q *queue) waiting() int { return len(q.nested) + len(q.plain) }
+
+// list returns the list in which a request of the rank waits.
+func (q *queue) list(nested bool) *[]*entry {
+	if nested {
+		return &q.nested
+	}
+	return &q.plain
+}
+
+// advance accounts for a span of time. A rank without waiting work builds up no credit, so that it can't claim slots for
+// a time in which it needed none; it only works off what it used in excess.
+func (q *queue) advance(span time.Duration, slots int, longest time.Duration) {
+	q.busy += (float64(q.running) - q.busy) * (1 - math.Exp(-float64(span)/float64(busyWindow)))
+	if q.Floor <= 0 {
+		q.credit = 0
+		return
+	}
+	q.credit += time.Duration(q.Floor * float64(slots) * float64(span))
+	if q.waiting() == 0 {
+		q.credit = min(q.credit, 0)
+		return
+	}
+	// While long requests of other ranks hold all slots, the credit must be able to cover their whole service time.
+	bound := 2*q.service.mean + time.Duration(2*q.Floor*float64(slots)*float64(longest+time.Second))
+	q.credit = min(q.credit, bound)
+}
+
+// charge books the expected slot time of a request that starts. Slots that were free cost at most one service time, so
+// that a rank isn't held back later for having used capacity that no other rank wanted.
+func (q *queue) charge(e *entry) {
+	e.charged = q.service.mean
+	q.credit = max(q.credit-e.charged, min(q.credit, -q.service.mean))
+}
+
+// settle replaces the charge of a finished request by its true slot time.
+func (q *queue) settle(e *entry, now time.Duration) {
+	lowest := min(q.credit, -4*q.service.mean)
+	q.credit = max(q.credit-(now-e.started-e.charged), lowest)
+}
+
+// Weights of new samples in the running averages, and the margin that makes a start safe.
+const (
+	sampleWeight = 1.0 / 16
+	safeMargin   = 2
+	// staleAfter is the time without sample after which one request may run in spite of the estimate. Otherwise a rank
+	// whose estimate once exceeds its deadlines would be refused forever.
+	staleAfter = time.Second
+)
+
+// estimate is a running average of service times with the mean deviation.
+type estimate struct {
+	mean      time.Duration
+	deviation time.Duration
+	updated   time.Duration
+	samples   uint64
+}
+
+func (e *estimate) observe(now, sample time.Duration) {
+	e.updated = now
+	e.samples++
+	if e.samples == 1 {
+		e.mean, e.deviation = sample, sample/2
+		return
+	}
+	difference := sample - e.mean
+	e.mean += time.Duration(sampleWeight * float64(difference))
+	e.deviation += time.Duration(sampleWeight * (math.Abs(float64(difference)) - float64(e.deviation)))
+}
+
+// safe is a service time that few requests exceed.
+func (e *estimate) safe() time.Duration { return e.mean + safeMargin*e.deviation }
--- /dev/null
+++ b/admitter/snapshot.go
@@ -0,0 +1,65 @@
+package admitter
+
+import "time"
+
+// Snapshot is the state of an Admitter for operators.
+type Snapshot struct {
+	Policy         Policy         `json:"policy"`
+	Slots          int            `json:"slots"`
+	Reserved       int            `json:"reserved"`
+	Running        int            `json:"running"`
+	NestedRunning  int            `json:"nested_running"`
+	AloneWaiting   int            `json:"alone_waiting"`
+	AloneRunning   bool           `json:"alone_running"`
+	Waiting        int            `json:"waiting"`
+	LowestAdmitted int            `json:"lowest_admitted"`
+	UnknownRank    uint64         `json:"unknown_rank"`
+	Ranks          []RankSnapshot `json:"ranks"`
+}
+
+// RankSnapshot is the state of one rank.
+type RankSnapshot struct {
+	Name    string  `json:"name"`
+	Urgency int     `json:"urgency"`
+	Floor   float64 `json:"floor"`
+	Waiting int     `json:"waiting"`
+	Running int     `json:"running"`
+	// Busy is the recent average number of running requests.
+	Busy float64 `json:"busy"`
+	// Credit is the slot time that the rank is owed, in milliseconds.
+	Credit float64 `json:"credit_ms"`
+	// Service is the expected service time, in milliseconds.
+	Service  float64           `json:"service_ms"`
+	Started  uint64            `json:"started"`
+	Finished uint64            `json:"finished"`
+	Refused  map[string]uint64 `json:"refused"`
+}
+
+// Snapshot returns the present state.
+func (a *Admitter) Snapshot() Snapshot {
+	s := Snapshot{
+		Policy: a.config.Policy, Slots: a.slots, Reserved: a.reserved(), Running: a.running,
+		NestedRunning: a.nestedRunning, AloneWaiting: len(a.alone.waiting), AloneRunning: a.alone.current != nil,
+		Waiting: len(a.entries) - a.running, LowestAdmitted: a.LowestAdmitted(), UnknownRank: a.unknown,
+	}
+	for _, q := range a.queues {
+		s.Ranks = append(s.Ranks, q.snapshot())
+	}
+	return s
+}
+
+func (q *queue) snapshot() RankSnapshot {
+	refused := map[string]uint64{}
+	for reason, count := range q.refused {
+		if count > 0 {
+			refused[Reason(reason).String()] = count
+		}
+	}
+	return RankSnapshot{
+		Name: q.Name, Urgency: q.Urgency, Floor: q.Floor, Waiting: q.waiting(), Running: q.running, Busy: q.busy,
+		Credit: milliseconds(q.credit), Service: milliseconds(q.service.mean),
+		Started: q.started, Finished: q.finished, Refused: refused,
+	}
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
