--- /dev/null
+++ b/deduper/table.go
@@ -0,0 +1,194 @@
+package deduper
+
+import (
+	"slices"
+	"time"
+
+	"hibiscusline/hasher"
+)
+
+// Block is a range whose rows may be missing, with the time until every missing row would have expired.
+type Block struct {
+	Service   string        `cbor:"1,keyasint"`
+	Range     hasher.Range  `cbor:"2,keyasint"`
+	Remaining time.Duration `cbor:"3,keyasint"`
+}
+
+type blockedRange struct {
+	service string
+	r       hasher.Range
+	until   time.Duration
+}
+
+// Table holds the rows of the ranges that a process owns.
+type Table struct {
+	rows    rowSet
+	blocks  []blockedRange
+	attempt uint64
+}
+
+// NewTable returns an empty table.
+func NewTable(limits Limits) *Table {
+	return &Table{rows: newRowSet(&usage{limits: limits.withDefaults()})}
+}
+
+// Len returns the number of rows.
+func (t *Table) Len() int { return t.rows.usage.rows }
+
+// Begin says what to do with a request, and records an intent if the verdict is Fresh. Request is its RequestHash.
+func (t *Table) Begin(now time.Duration, id ID, request uint64) Verdict {
+	if e := t.rows.get(id); e != nil {
+		return e.verdict(request)
+	}
+	if until, blocked := t.blockedUntil(now, id); blocked {
+		return Blocked{Until: until}
+	}
+	if t.rows.usage.full() {
+		return Full{}
+	}
+	e := &entry{row: Row{Ref: Ref{ID: id, Attempt: t.nextAttempt()}, Request: request}, created: now, running: true}
+	t.rows.add(e)
+	return Fresh{Row: e.row}
+}
+
+func (e *entry) verdict(request uint64) Verdict {
+	switch {
+	case e.row.Request != request:
+		return Mismatch{}
+	case e.row.State == Completed:
+		return Replay{Outcome: e.row.Outcome}
+	case e.running:
+		return InProgress{Ref: e.row.Ref}
+	}
+	return OutcomeUnknown{}
+}
+
+func (t *Table) nextAttempt() uint64 {
+	t.attempt++
+	return t.attempt
+}
+
+func (t *Table) blockedUntil(now time.Duration, id ID) (time.Duration, bool) {
+	until := now
+	for _, b := range t.blocks {
+		if b.service == id.Service && b.r.Contains(id.Position) {
+			until = max(until, b.until)
+		}
+	}
+	return until, until > now
+}
+
+// attemptOf returns the entry of an attempt, or nil if the row has since expired, moved away or been replaced.
+func (t *Table) attemptOf(ref Ref) *entry {
+	if e := t.rows.get(ref.ID); e != nil && e.row.Ref == ref {
+		return e
+	}
+	return nil
+}
+
+// Abort deletes the row of a request that was refused before dispatch, so that it may be sent again. It reports whether
+// there was one; the guardians may then forget the attempt (Store.Forget).
+func (t *Table) Abort(ref Ref) bool {
+	e := t.attemptOf(ref)
+	if e == nil || !e.running {
+		return false
+	}
+	t.rows.remove(e)
+	return true
+}
+
+// Complete records an outcome and returns the row to send to the guardians. It reports false if the row is gone or has an
+// outcome already, which then stays.
+func (t *Table) Complete(now time.Duration, ref Ref, outcome Outcome) (Row, bool) {
+	e := t.attemptOf(ref)
+	if e == nil || e.row.State == Completed {
+		return Row{}, false
+	}
+	e.running, e.row.State = false, Completed
+	t.rows.setOutcome(e, outcome)
+	return e.at(now), true
+}
+
+// Fail records that a dispatched request ended without an outcome, and returns the row to send to the guardians. It
+// reports false if the row is gone or not running.
+func (t *Table) Fail(now time.Duration, ref Ref) (Row, bool) {
+	e := t.attemptOf(ref)
+	if e == nil || !e.running {
+		return Row{}, false
+	}
+	e.running, e.row.State = false, Unknown
+	return e.at(now), true
+}
+
+func (e *entry) at(now time.Duration) Row {
+	row := e.row
+	row.Age = max(0, now-e.created)
+	return row
+}
+
+// Block refuses requests of a range without a row until Remaining has passed on every process's clock. After a take-over
+// with a missing guardian, Remaining is the service's idempotency window; after a planned move, it comes from Blocks.
+func (t *Table) Block(now time.Duration, b Block) {
+	t.blocks = append(t.blocks, blockedRange{service: b.Service, r: b.Range, until: now + stretched(b.Remaining)})
+}
+
+// Unblock ends the blocks that lie wholly in a range, for use when every missing row has been imported.
+func (t *Table) Unblock(service string, r hasher.Range) {
+	t.blocks = slices.DeleteFunc(t.blocks, func(b blockedRange) bool {
+		return b.service == service && r.Contains(b.r.Low) && r.Contains(b.r.High)
+	})
+}
+
+// Blocks returns the blocked parts of a range. On a planned move they go to the new owner with the rows.
+func (t *Table) Blocks(now time.Duration, service string, r hasher.Range) []Block {
+	var blocks []Block
+	for _, b := range t.blocks {
+		part := hasher.Range{Low: max(b.r.Low, r.Low), High: min(b.r.High, r.High)}
+		if b.service == service && part.Low <= part.High && b.until > now {
+			blocks = append(blocks, Block{Service: service, Range: part, Remaining: b.until - now})
+		}
+	}
+	return blocks
+}
+
+// Import adds rows of another process. A row with an outcome supersedes one without. An intent that isn't running here
+// has an unknown outcome, since the other process may have dispatched it. Imported rows are never refused: a table that
+// exceeds its limit of rows answers Full to new requests.
+func (t *Table) Import(now time.Duration, rows []Row) {
+	for _, row := range rows {
+		row.State = max(row.State, Unknown)
+		created := now - shrunk(row.Age)
+		e := t.rows.get(row.Ref.ID)
+		if e == nil {
+			row.Ref.Attempt, row.Age = t.nextAttempt(), 0
+			t.rows.add(&entry{row: row, created: created})
+			continue
+		}
+		e.created = max(e.created, created)
+		if row.State == Completed && e.row.State != Completed {
+			e.running, e.row.State, e.row.Request = false, Completed, row.Request
+			t.rows.setOutcome(e, row.Outcome)
+		}
+	}
+}
+
+// Export returns the rows of a range in ascending order of position and key.
+func (t *Table) Export(now time.Duration, service string, r hasher.Range) []Row {
+	return t.rows.export(now, service, r)
+}
+
+// Drop forgets the rows and blocks of a range that went to another owner. Rows of running requests stay.
+func (t *Table) Drop(service string, r hasher.Range) {
+	for _, e := range t.rows.entriesOf(service, r) {
+		if !e.running {
+			t.rows.remove(e)
+		}
+	}
+	t.Unblock(service, r)
+}
+
+// Expire forgets rows older than the window of their service and blocks that ended.
+func (t *Table) Expire(now time.Duration, window func(service string) time.Duration) {
+	t.rows.expire(now, window)
+	t.blocks = slices.DeleteFunc(t.blocks, func(b blockedRange) bool { return b.until <= now })
+}
