--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,258 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+	"github.com/pkg/errors"
+
+	"hibiscusline/admitter"
+	"hibiscusline/appender"
+	"hibiscusline/applier"
+	"hibiscusline/deduper"
+	"hibiscusline/dispatcher"
+	"hibiscusline/encoder"
+	"hibiscusline/follower"
+	"hibiscusline/leaser"
+	"hibiscusline/loader"
+	"hibiscusline/router"
+	"hibiscusline/transporter"
+)
+
+// Config configures a Daemon.
+type Config struct {
+	Settings loader.DaemonSettings
+	Logger   log.Logger
+}
+
+// Daemon is one hibiscusd.
+type Daemon struct {
+	config    Config
+	logger    log.Logger
+	metrics   *metrics.Set
+	client    *appender.Client
+	state     *follower.Follower
+	transport *transporter.Transporter
+	router    *router.Router
+	started   time.Time
+
+	// kicks wakes the task that reads the log.
+	kicks chan struct{}
+	// behind carries the addresses of peers that have applied more.
+	behind chan netip.AddrPort
+	// heard is the time, in nanoseconds since the start, of the last datagram from a peer.
+	heard     atomic.Int64
+	firstKept atomic.Uint64
+
+	mu sync.Mutex
+	// current is the incarnation that is a member, or nil without a backend server.
+	current *incarnation
+	// transfers and other long changes of ownership happen one at a time.
+	changing sync.Mutex
+	draining atomic.Bool
+
+	storeMu sync.Mutex
+	store   *deduper.Store
+
+	loadsMu sync.Mutex
+	loads   map[applier.MemberID]memberLoad
+
+	tasks   sync.WaitGroup
+	stopped chan struct{}
+}
+
+type memberLoad struct {
+	load encoder.Load
+	at   time.Time
+}
+
+// New returns a daemon that is not yet listening.
+func New(c Config) *Daemon {
+	d := &Daemon{
+		config:  c,
+		logger:  log.With(c.Logger, "name", c.Settings.Name),
+		metrics: metrics.NewSet(),
+		client:  appender.New(appender.Config{Address: c.Settings.Log.Address, Stream: c.Settings.Log.Stream}),
+		state:   &follower.Follower{},
+		kicks:   make(chan struct{}, 1),
+		behind:  make(chan netip.AddrPort, 16),
+		store:   deduper.NewStore(deduper.Limits{}),
+		loads:   map[applier.MemberID]memberLoad{},
+		stopped: make(chan struct{}),
+	}
+	d.router = router.New(router.Config{
+		State: d.state, Exchanger: (*exchanger)(d), Chooser: newChooser(c.Settings.Zone), Budget: newBudget(),
+		Backoff: newBackoff(), Parents: d.parent, DefaultTimeout: c.Settings.Limits.DefaultTimeout,
+		ReplayLimit: c.Settings.Limits.ReplayLimit, Metrics: d.metrics,
+	})
+	return d
+}
+
+// Run serves until the context ends and then stops gracefully: it hands its ranges over, finishes the requests in flight
+// and leaves. It returns an error if it can't listen or if the stop was not graceful.
+func (d *Daemon) Run(ctx context.Context) error {
+	d.started = time.Now()
+	credentials, err := transporter.LoadCredentials(
+		d.config.Settings.TLS.CA, d.config.Settings.TLS.Certificate, d.config.Settings.TLS.Key)
+	if err != nil {
+		return err
+	}
+	d.transport, err = transporter.Listen(transporter.Config{
+		Listen: d.config.Settings.QUIC, Credentials: credentials,
+		HandleStream: d.handleStream, HandleDatagram: d.handleDatagram,
+	})
+	if err != nil {
+		return err
+	}
+	servers, err := d.listen()
+	if err != nil {
+		return err
+	}
+	background, cancel := context.WithCancel(context.Background())
+	d.registerGauges()
+	for _, task := range []func(context.Context){d.followLog, d.followPeers, d.watchState, d.tickLease, d.tickAdmission, d.watchBackend, d.keepCheckpoints} {
+		d.tasks.Go(func() { task(background) })
+	}
+	d.log("state", "started", "listen", d.config.Settings.Listen, "quic", d.transport.Address())
+	<-ctx.Done()
+	stopErr := d.stop(servers)
+	cancel()
+	close(d.stopped)
+	d.tasks.Wait()
+	d.client.Close()
+	if err := d.transport.Close(); err != nil {
+		return err
+	}
+	d.log("state", "stopped")
+	return stopErr
+}
+
+// log writes one line for a change of state.
+func (d *Daemon) log(pairs ...any) {
+	// A log line that can't be written must not stop the router.
+	_ = d.logger.Log(pairs...)
+}
+
+// servers are the HTTP servers of a daemon.
+type servers struct {
+	callers *http.Server
+	local   *http.Server
+	admin   *http.Server
+}
+
+func (d *Daemon) listen() (*servers, error) {
+	limits := d.config.Settings.Limits
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	s := &servers{
+		callers: &http.Server{
+			Handler: d.callerHandler(), MaxHeaderBytes: limits.MaxHeaderBytes, Protocols: protocols,
+			ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute,
+		},
+		local: &http.Server{Handler: d.localHandler(), ReadTimeout: 5 * time.Second, MaxHeaderBytes: limits.MaxHeaderBytes},
+		admin: &http.Server{Handler: d.adminHandler(), ReadTimeout: 5 * time.Second, MaxHeaderBytes: limits.MaxHeaderBytes},
+	}
+	for _, l := range []struct {
+		server  *http.Server
+		address netip.AddrPort
+		limit   int
+	}{
+		{s.callers, d.config.Settings.Listen, limits.MaxConnections},
+		{s.local, d.config.Settings.Local, 0},
+		{s.admin, d.config.Settings.Admin, 0},
+	} {
+		listener, err := net.Listen("tcp", l.address.String())
+		if err != nil {
+			return nil, errors.Wrap(err, "listen")
+		}
+		d.tasks.Go(func() {
+			if err := l.server.Serve(limitListener(listener, l.limit)); !errors.Is(err, http.ErrServerClosed) {
+				d.log("state", "listener failed", "address", l.address, "err", err)
+			}
+		})
+	}
+	return s, nil
+}
+
+// callerHandler serves callers. While the process drains it asks them to use another connection, so that no request is
+// sent on a connection that is about to be closed.
+func (d *Daemon) callerHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.draining.Load() && r.ProtoMajor == 1 {
+			w.Header().Set("Connection", "close")
+		}
+		d.router.ServeHTTP(w, r)
+	})
+}
+
+func (d *Daemon) parent(token string) (router.Parent, bool) {
+	n := d.incarnation()
+	if n == nil {
+		return router.Parent{}, false
+	}
+	p, known := n.dispatcher.Parent(token)
+	return router.Parent{Rank: p.Rank, Deadline: p.Deadline}, known
+}
+
+func (d *Daemon) incarnation() *incarnation {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.current
+}
+
+// self returns the member id, or zero while the process is not a member.
+func (d *Daemon) self() applier.MemberID {
+	if n := d.incarnation(); n != nil {
+		return n.id
+	}
+	return 0
+}
+
+// tickAdmission lets waiting requests notice their deadlines.
+func (d *Daemon) tickAdmission(ctx context.Context) {
+	const interval = 5 * time.Millisecond
+	every(ctx, interval, func() {
+		if n := d.incarnation(); n != nil {
+			n.dispatcher.Tick()
+		}
+	})
+}
+
+// every calls a function at an interval until the context ends.
+func every(ctx context.Context, interval time.Duration, f func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			f()
+		}
+	}
+}
+
+// ranksOf returns the ranks of the configuration in force for the admission.
+func ranksOf(s *applier.State) []admitter.Rank {
+	if s.Configuration == nil {
+		return nil
+	}
+	ranks := make([]admitter.Rank, 0, len(s.Configuration.Ranks))
+	for name, r := range s.Configuration.Ranks {
+		ranks = append(ranks, admitter.Rank{Name: name, Urgency: r.Urgency, Floor: r.Floor, Target: r.Target.Value()})
+	}
+	return ranks
+}
+
+var (
+	_ dispatcher.Lease = (*incarnation)(nil)
+	_ leaser.Event     = leaser.Tick{}
+)
--- /dev/null
+++ b/daemon/log.go
@@ -0,0 +1,264 @@
+package daemon
+
+import (
+	"cmp"
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"hibiscusline/appender"
+	"hibiscusline/applier"
+	"hibiscusline/encoder"
+	"hibiscusline/follower"
+)
+
+const (
+	readLimit = 500
+	// readersPerZone is the number of members in a zone that poll the log; two, so that the loss of one delays nothing.
+	readersPerZone = 2
+	// silence is the time without any peer after which a process polls the log itself.
+	silence = 3 * time.Second
+	// peerInterval is the time between two attempts to learn the state from the peers of the settings.
+	peerInterval = 200 * time.Millisecond
+)
+
+// kick makes the process read the log now.
+func (d *Daemon) kick() {
+	select {
+	case d.kicks <- struct{}{}:
+	default:
+	}
+}
+
+// followLog polls the log while this process is one of its zone's readers, and whenever it is kicked.
+func (d *Daemon) followLog(ctx context.Context) {
+	ticker := time.NewTicker(d.config.Settings.Log.PollInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.kicks:
+		case <-ticker.C:
+			if !d.isReader() {
+				continue
+			}
+		}
+		d.readLog(ctx)
+	}
+}
+
+// readLog reads until this process has applied what the log has.
+func (d *Daemon) readLog(ctx context.Context) {
+	for {
+		from := d.state.NextOffset()
+		b, err := d.client.Read(ctx, from, readLimit)
+		if err != nil {
+			d.metrics.GetOrCreateCounter("hibiscus_log_read_errors_total").Inc()
+			if !d.state.Ready() {
+				d.learnFromPeers(ctx)
+			}
+			return
+		}
+		d.firstKept.Store(uint64(b.First))
+		d.ingest(b)
+		if len(b.Records) == 0 || d.state.NextOffset() >= b.Next || d.state.NextOffset() == from {
+			break
+		}
+	}
+	if !d.state.Ready() {
+		d.learnFromPeers(ctx)
+	}
+}
+
+func (d *Daemon) ingest(b follower.Batch) {
+	results, err := d.state.Ingest(b)
+	if err != nil {
+		d.metrics.GetOrCreateCounter("hibiscus_log_batches_refused_total").Inc()
+	}
+	d.metrics.GetOrCreateCounter("hibiscus_records_applied_total").Add(len(results))
+}
+
+// isReader reports whether this process polls the log. Readers are the first members of the zone by a hash, so that the
+// duty is spread when members come and go.
+func (d *Daemon) isReader() bool {
+	id := d.self()
+	if id == 0 || !d.state.Ready() || time.Since(d.started)-time.Duration(d.heard.Load()) > silence {
+		return true
+	}
+	var zone []applier.MemberID
+	present := false
+	d.state.View(func(s *applier.State) {
+		_, present = s.Members[id]
+		for _, m := range s.Members {
+			if m.Zone == d.config.Settings.Zone && m.Status == applier.Active {
+				zone = append(zone, m.ID)
+			}
+		}
+	})
+	if !present {
+		return true
+	}
+	slices.SortFunc(zone, func(a, b applier.MemberID) int { return cmp.Compare(readerHash(a), readerHash(b)) })
+	return slices.Contains(zone[:min(readersPerZone, len(zone))], id)
+}
+
+// readerHash orders the members of a zone. Member ids are random, so any fixed mixing serves.
+func readerHash(id applier.MemberID) uint64 {
+	const multiplier = 0x9e3779b97f4a7c15
+	return uint64(id) * multiplier
+}
+
+// followPeers fetches records from peers that announced a higher offset.
+func (d *Daemon) followPeers(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case address := <-d.behind:
+			if err := d.fetch(ctx, address); err != nil {
+				d.metrics.GetOrCreateCounter("hibiscus_peer_fetch_errors_total").Inc()
+			}
+		}
+	}
+}
+
+func (d *Daemon) fetch(ctx context.Context, address netip.AddrPort) error {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	for {
+		records, err := ask[encoder.Records](ctx, d, address, encoder.Fetch{From: d.state.Applied() + 1})
+		if err != nil {
+			return err
+		}
+		if records.Trimmed {
+			return d.fetchState(ctx, address)
+		}
+		if len(records.Records) == 0 {
+			return nil
+		}
+		d.ingest(follower.Batch{First: 1, Next: records.Start, Start: records.Start, Records: records.Records})
+	}
+}
+
+func (d *Daemon) fetchState(ctx context.Context, address netip.AddrPort) error {
+	answer, err := ask[encoder.State](ctx, d, address, encoder.StateQuery{})
+	if err != nil {
+		return err
+	}
+	if len(answer.Encoded) == 0 {
+		return errors.New("peer has no state")
+	}
+	state, err := applier.DecodeState(answer.Encoded)
+	if err != nil {
+		return err
+	}
+	d.state.Adopt(state)
+	return nil
+}
+
+// learnFromPeers asks the peers of the settings for their state while the log can't give it.
+func (d *Daemon) learnFromPeers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	for _, address := range d.config.Settings.Peers {
+		if address == d.config.Settings.QUIC {
+			continue
+		}
+		if err := d.fetchState(ctx, address); err == nil {
+			d.log("state", "learned the state from a peer", "peer", address, "applied", d.state.Applied())
+			return
+		}
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(peerInterval):
+	}
+}
+
+// appendOnce appends a record without waiting for its effect. The core packages ask again when it is lost.
+func (d *Daemon) appendOnce(r applier.Record) {
+	d.metrics.GetOrCreateCounter(`hibiscus_appends_total{kind="` + applier.KindOf(r).String() + `"}`).Inc()
+	d.tasks.Go(func() {
+		if _, err := d.client.Append(context.Background(), appender.NewEnvelope(r)); err != nil {
+			d.metrics.GetOrCreateCounter("hibiscus_append_errors_total").Inc()
+		}
+		d.kick()
+	})
+}
+
+// commit appends a record until it was applied here, and returns what became of it.
+func (d *Daemon) commit(ctx context.Context, r applier.Record) (applier.Result, error) {
+	const resend = 500 * time.Millisecond
+	e := appender.NewEnvelope(r)
+	d.metrics.GetOrCreateCounter(`hibiscus_appends_total{kind="` + applier.KindOf(r).String() + `"}`).Inc()
+	for {
+		if _, err := d.client.Append(ctx, e); err != nil {
+			d.metrics.GetOrCreateCounter("hibiscus_append_errors_total").Inc()
+		}
+		timeout := time.After(resend)
+		for waiting := true; waiting; {
+			changed := d.state.Changed()
+			var result applier.Result
+			var found bool
+			d.state.View(func(s *applier.State) { result, found = s.ResultOf(e.ID) })
+			if found {
+				return result, nil
+			}
+			d.kick()
+			select {
+			case <-changed:
+			case <-timeout:
+				waiting = false
+			case <-ctx.Done():
+				return applier.Result{}, errors.Wrapf(ctx.Err(), "%s record may or may not be in the log", applier.KindOf(r))
+			}
+		}
+	}
+}
+
+// keepCheckpoints appends the state as a checkpoint while this process holds that duty.
+func (d *Daemon) keepCheckpoints(ctx context.Context) {
+	const (
+		interval   = time.Second
+		maxRecords = 2000
+		maxAge     = 10 * time.Minute
+	)
+	var written time.Time
+	every(ctx, interval, func() {
+		var due bool
+		var pieces []applier.Checkpoint
+		ready, self := d.state.Ready(), d.self()
+		d.state.View(func(s *applier.State) {
+			if s.Oldest() != self || s.Applied == 0 || !ready {
+				return
+			}
+			since := s.Applied - s.CheckpointAsOf
+			// The checkpoint itself consists of records, so a fleet without changes writes one only for its age.
+			lost := s.CheckpointAsOf+1 < applier.Offset(d.firstKept.Load())
+			due = since > maxRecords || lost || since > 1 && time.Since(written) > maxAge
+			if !due {
+				return
+			}
+			var err error
+			if pieces, err = s.Checkpoints(appender.NewEnvelope(applier.Checkpoint{}).ID); err != nil {
+				d.log("state", "checkpoint failed", "err", err)
+			}
+		})
+		if !due || time.Since(written) < 5*interval {
+			return
+		}
+		written = time.Now()
+		for _, piece := range pieces {
+			if _, err := d.client.Append(ctx, appender.NewEnvelope(piece)); err != nil {
+				d.metrics.GetOrCreateCounter("hibiscus_append_errors_total").Inc()
+				return
+			}
+		}
+		d.metrics.GetOrCreateCounter("hibiscus_checkpoints_total").Inc()
+	})
+}
+
--- /dev/null
+++ b/daemon/member.go
@@ -0,0 +1,256 @@
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"hibiscusline/admitter"
+	"hibiscusline/applier"
+	"hibiscusline/dispatcher"
+	"hibiscusline/encoder"
+	"hibiscusline/leaser"
+	"hibiscusline/timer"
+)
+
+// incarnation is this process as one member. A process that was removed from the state joins again as a new one.
+type incarnation struct {
+	id         applier.MemberID
+	server     announcement
+	dispatcher *dispatcher.Dispatcher
+	joined     time.Time
+
+	mu      sync.Mutex
+	machine *leaser.Machine
+	// validUntil is the lease's end after the machine's last step. Reading it must not wait for a step.
+	validUntil atomic.Int64
+	removed    atomic.Bool
+	// leaving means that the incarnation is handing its ranges over and is not to be replaced by a new one.
+	leaving atomic.Bool
+	// fetched holds the epochs of ranges whose idempotency rows were fetched from the guardians of their lost owners.
+	fetched sync.Map
+	// version is the configuration version that the dispatcher has.
+	version atomic.Uint64
+	// notified is the offset that the neighbours were last told.
+	notified atomic.Uint64
+	// synchronized is the guardian version whose guardians have all rows.
+	synchronized  atomic.Uint64
+	synchronizing atomic.Bool
+	fetching      atomic.Bool
+}
+
+// ValidUntil returns the end of the lease by the clock of package timer.
+func (n *incarnation) ValidUntil() time.Duration { return time.Duration(n.validUntil.Load()) }
+
+// newMemberID draws the id of a new incarnation.
+func newMemberID() applier.MemberID {
+	var b [8]byte
+	// Read never fails; see package crypto/rand.
+	_, _ = rand.Read(b[:])
+	return applier.MemberID(binary.BigEndian.Uint64(b[:]))
+}
+
+// join makes this process a member for the backend server that announced itself.
+func (d *Daemon) join(a announcement) {
+	n := &incarnation{id: newMemberID(), server: a, joined: time.Now()}
+	n.machine = leaser.New(leaser.Config{Self: n.id})
+	var ranks []admitter.Rank
+	d.state.View(func(s *applier.State) { ranks = ranksOf(s) })
+	n.dispatcher = dispatcher.New(dispatcher.Config{
+		State: d.state, Lease: n, Self: func() applier.MemberID { return n.id },
+		Replicator: &replicator{daemon: d, incarnation: n}, Service: a.Service,
+		Admission:   admitter.Config{Slots: a.Slots, Ranks: ranks, QueueLimit: d.config.Settings.Limits.QueueLimit, NestedShare: nestedShare},
+		Connections: a.Connections, Metrics: d.metrics,
+		Fetched: func(epoch applier.Offset) bool { _, done := n.fetched.Load(epoch); return done },
+	})
+	n.dispatcher.SetBackend(a.Address, a.Slots)
+	d.mu.Lock()
+	d.current = n
+	d.mu.Unlock()
+	d.log("state", "joining", "member", n.id, "service", a.Service, "backend", a.Address)
+	d.tasks.Go(func() { d.commitJoin(n) })
+}
+
+// nestedShare is the share of slots that only nested calls may use.
+const nestedShare = 0.1
+
+func (d *Daemon) commitJoin(n *incarnation) {
+	ctx, cancel := d.background()
+	defer cancel()
+	result, err := d.commit(ctx, applier.Join{Member: applier.Member{
+		ID: n.id, Name: d.config.Settings.Name, Zone: d.config.Settings.Zone, Service: n.server.Service,
+		Address: d.transport.Address(), Admin: d.config.Settings.Admin, Slots: n.server.Slots, Fenced: n.server.Fenced,
+	}})
+	if err != nil || !result.Accepted {
+		d.log("state", "join failed", "member", n.id, "reason", result.Reason, "err", err)
+	}
+}
+
+// background returns a context that ends when the daemon has stopped.
+func (d *Daemon) background() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		select {
+		case <-d.stopped:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
+// step passes an event to the lease machine and carries out its actions.
+func (d *Daemon) step(n *incarnation, e leaser.Event) {
+	d.perform(n, n.step(e))
+}
+
+func (n *incarnation) step(e leaser.Event) []leaser.Action {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	actions := n.machine.Step(timer.Now(), e)
+	n.validUntil.Store(int64(n.machine.ValidUntil()))
+	n.removed.Store(n.machine.Removed())
+	return actions
+}
+
+// perform carries out the actions of the lease machine. The state must not be locked.
+func (d *Daemon) perform(n *incarnation, actions []leaser.Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case leaser.Send:
+			d.sendLease(n, a.To, a.Message)
+		case leaser.Append:
+			d.appendOnce(a.Record)
+		}
+	}
+}
+
+func (d *Daemon) sendLease(n *incarnation, to applier.MemberID, m leaser.Message) {
+	data, err := leaser.EncodeMessage(m)
+	if err != nil {
+		d.log("state", "lease message not encoded", "err", err)
+		return
+	}
+	d.sendDatagram(to, encoder.Datagram{From: n.id, Lease: data})
+}
+
+// sendDatagram sends a datagram with the offset that this process has applied.
+func (d *Daemon) sendDatagram(to applier.MemberID, g encoder.Datagram) {
+	var m *applier.Member
+	var address applier.Member
+	d.state.View(func(s *applier.State) {
+		g.Applied = s.Applied
+		if m = s.Members[to]; m != nil {
+			address = *m
+		}
+	})
+	if m == nil {
+		return
+	}
+	data, err := encoder.EncodeDatagram(g)
+	if err != nil {
+		d.log("state", "datagram not encoded", "err", err)
+		return
+	}
+	d.metrics.GetOrCreateCounter("hibiscus_datagrams_sent_total").Inc()
+	d.transport.SendDatagram(address.Address, data)
+}
+
+// tickLease lets the lease machine renew and notice lapsed promises.
+func (d *Daemon) tickLease(ctx context.Context) {
+	const interval = 25 * time.Millisecond
+	every(ctx, interval, func() {
+		n := d.incarnation()
+		if n == nil {
+			return
+		}
+		d.step(n, leaser.Tick{})
+		if n.removed.Load() && !n.leaving.Load() && !d.draining.Load() {
+			d.rejoin(n)
+		}
+	})
+}
+
+// rejoin replaces an incarnation that was taken over. Requests that it still runs end on their own; their answers are
+// refused by the lease check.
+func (d *Daemon) rejoin(old *incarnation) {
+	d.mu.Lock()
+	replaced := d.current == old
+	if replaced {
+		d.current = nil
+	}
+	d.mu.Unlock()
+	if replaced {
+		d.metrics.GetOrCreateCounter("hibiscus_rejoins_total").Inc()
+		d.join(old.server)
+	}
+}
+
+// watchState carries changes of the state to the parts that depend on it.
+func (d *Daemon) watchState(ctx context.Context) {
+	const idle = time.Second
+	var version applier.Offset
+	for {
+		changed := d.state.Changed()
+		if n := d.incarnation(); n != nil {
+			version = d.applyState(n, version)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-time.After(idle):
+		}
+	}
+}
+
+// applyState tells the parts of an incarnation about the state and returns the configuration version in force.
+func (d *Daemon) applyState(n *incarnation, version applier.Offset) applier.Offset {
+	var actions []leaser.Action
+	var current applier.Offset
+	var ranks []admitter.Rank
+	d.state.View(func(s *applier.State) {
+		actions = n.step(leaser.StateApplied{State: s})
+		current = s.Version
+		ranks = ranksOf(s)
+	})
+	d.perform(n, actions)
+	n.dispatcher.Refresh()
+	if current != version || n.version.Swap(uint64(current)) != uint64(current) {
+		n.dispatcher.SetRanks(ranks)
+	}
+	if current != version {
+		d.log("state", "configuration in force", "version", current)
+	}
+	d.notifyNeighbours(n)
+	d.synchronizeRows(n)
+	d.fetchLostRows(n)
+	return current
+}
+
+// notifyNeighbours tells the members with which this one exchanges lease messages that it has applied more, so that new
+// records spread without waiting for the next renewal.
+func (d *Daemon) notifyNeighbours(n *incarnation) {
+	var neighbours []applier.MemberID
+	var applied applier.Offset
+	d.state.View(func(s *applier.State) {
+		applied = s.Applied
+		if self, present := s.Members[n.id]; present {
+			neighbours = append(neighbours, self.Guardians...)
+		}
+		for id, m := range s.Members {
+			if m.GuardedBy(n.id) {
+				neighbours = append(neighbours, id)
+			}
+		}
+	})
+	if n.notified.Swap(uint64(applied)) == uint64(applied) {
+		return
+	}
+	for _, id := range neighbours {
+		d.sendDatagram(id, encoder.Datagram{From: n.id})
+	}
+}
--- /dev/null
+++ b/daemon/rows.go
@@ -0,0 +1,266 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"hibiscusline/applier"
+	"hibiscusline/deduper"
+	"hibiscusline/encoder"
+	"hibiscusline/hasher"
+	"hibiscusline/timer"
+)
+
+const (
+	rowsTimeout = time.Second
+	// rowsBatch bounds the rows in one message; each may hold an outcome of 16 KiB.
+	rowsBatch = 200
+)
+
+var fullRange = hasher.Full()
+
+// recordRows keeps rows of a member that this process guards.
+func (d *Daemon) recordRows(m encoder.RecordRows) encoder.Message {
+	d.storeMu.Lock()
+	defer d.storeMu.Unlock()
+	err := d.store.Record(timer.Now(), m.Owner, m.Rows)
+	d.store.Forget(m.Owner, m.Forget)
+	if err != nil {
+		return encoder.Ack{Refused: err.Error()}
+	}
+	if m.Complete != encoder.Unchanged {
+		d.store.SetComplete(m.Owner, m.Complete == encoder.Complete)
+	}
+	return encoder.Ack{}
+}
+
+func (d *Daemon) queryRows(m encoder.RowsQuery) encoder.Message {
+	d.storeMu.Lock()
+	defer d.storeMu.Unlock()
+	rows, complete := d.store.Rows(timer.Now(), m.Owner, m.Service, m.Range)
+	return encoder.Rows{Rows: rows, Complete: complete}
+}
+
+// replicator keeps the rows of an incarnation at its guardians.
+type replicator struct {
+	daemon      *Daemon
+	incarnation *incarnation
+}
+
+// Record returns when all guardians have the row. A guardian that is lost holds it up until the owner has replaced it,
+// since a successor relies on any one guardian that says it holds all rows.
+func (r *replicator) Record(ctx context.Context, row deduper.Row) error {
+	return r.send(ctx, encoder.RecordRows{Owner: r.incarnation.id, Rows: []deduper.Row{row}})
+}
+
+// Publish sends an outcome without waiting. If it is lost, a successor knows the intent only and answers unknown.
+func (r *replicator) Publish(row deduper.Row) {
+	r.sendLater(encoder.RecordRows{Owner: r.incarnation.id, Rows: []deduper.Row{row}})
+}
+
+// Forget tells the guardians without waiting that an attempt was not dispatched.
+func (r *replicator) Forget(ref deduper.Ref) {
+	r.sendLater(encoder.RecordRows{Owner: r.incarnation.id, Forget: []deduper.Ref{ref}})
+}
+
+func (r *replicator) sendLater(m encoder.RecordRows) {
+	r.daemon.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), rowsTimeout)
+		defer cancel()
+		if err := r.send(ctx, m); err != nil {
+			r.daemon.metrics.GetOrCreateCounter("hibiscus_rows_unsent_total").Inc()
+		}
+	})
+}
+
+func (r *replicator) send(ctx context.Context, m encoder.RecordRows) error {
+	guardians, _ := r.daemon.guardiansOf(r.incarnation.id)
+	return r.daemon.recordAt(ctx, guardians, m)
+}
+
+// recordAt sends rows to members and waits for all their acknowledgements.
+func (d *Daemon) recordAt(ctx context.Context, guardians []applier.Member, m encoder.RecordRows) error {
+	results := make(chan error, len(guardians))
+	for _, g := range guardians {
+		go func() {
+			ack, err := ask[encoder.Ack](ctx, d, g.Address, m)
+			if err == nil && ack.Refused != "" {
+				err = errors.New(ack.Refused)
+			}
+			results <- err
+		}()
+	}
+	var first error
+	for range guardians {
+		if err := <-results; err != nil && first == nil {
+			first = err
+		}
+	}
+	return first
+}
+
+// guardiansOf returns the guardians of a member and its guardian version.
+func (d *Daemon) guardiansOf(id applier.MemberID) ([]applier.Member, applier.Offset) {
+	var guardians []applier.Member
+	var version applier.Offset
+	d.state.View(func(s *applier.State) {
+		m, present := s.Members[id]
+		if !present {
+			return
+		}
+		version = m.GuardianVersion
+		for _, g := range m.Guardians {
+			if guardian, present := s.Members[g]; present {
+				guardians = append(guardians, *guardian)
+			}
+		}
+	})
+	return guardians, version
+}
+
+// synchronizeRows gives all rows to the guardians after the set of guardians changed, and then declares them complete.
+func (d *Daemon) synchronizeRows(n *incarnation) {
+	guardians, version := d.guardiansOf(n.id)
+	if len(guardians) == 0 || n.synchronized.Load() == uint64(version) || !n.synchronizing.CompareAndSwap(false, true) {
+		return
+	}
+	d.tasks.Go(func() {
+		defer n.synchronizing.Store(false)
+		ctx, cancel := context.WithTimeout(context.Background(), rowsTimeout)
+		defer cancel()
+		if err := d.pushAll(ctx, n, guardians); err != nil {
+			d.metrics.GetOrCreateCounter("hibiscus_rows_unsent_total").Inc()
+			return
+		}
+		n.synchronized.Store(uint64(version))
+	})
+}
+
+func (d *Daemon) pushAll(ctx context.Context, n *incarnation, guardians []applier.Member) error {
+	var rows []deduper.Row
+	var blocked bool
+	n.dispatcher.Rows(func(t *deduper.Table) {
+		rows = t.Export(timer.Now(), n.server.Service, fullRange)
+		blocked = len(t.Blocks(timer.Now(), n.server.Service, fullRange)) > 0
+	})
+	for len(rows) > 0 {
+		part := rows[:min(rowsBatch, len(rows))]
+		rows = rows[len(part):]
+		if err := d.recordAt(ctx, guardians, encoder.RecordRows{Owner: n.id, Rows: part}); err != nil {
+			return err
+		}
+	}
+	complete := encoder.Complete
+	if blocked {
+		complete = encoder.Incomplete
+	}
+	return d.recordAt(ctx, guardians, encoder.RecordRows{Owner: n.id, Complete: complete})
+}
+
+// fetchLostRows fetches the idempotency rows of ranges that this process took over, before it runs non-repeatable
+// requests of them.
+func (d *Daemon) fetchLostRows(n *incarnation) {
+	type lost struct {
+		assignment applier.Assignment
+		guardians  [][]applier.Member
+	}
+	var ranges []lost
+	var window time.Duration
+	d.state.View(func(s *applier.State) {
+		if s.Configuration != nil {
+			window = s.Configuration.Services[n.server.Service].IdempotencyWindow.Value()
+		}
+		for _, a := range s.Owned(n.id) {
+			if len(a.Lineage) == 0 {
+				continue
+			}
+			if _, done := n.fetched.Load(a.Epoch); done {
+				continue
+			}
+			l := lost{assignment: a}
+			for _, owner := range a.Lineage {
+				l.guardians = append(l.guardians, presentGuardians(s, owner))
+			}
+			ranges = append(ranges, l)
+		}
+	})
+	if len(ranges) == 0 || !n.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	d.tasks.Go(func() {
+		defer n.fetching.Store(false)
+		epochs := map[applier.Offset]bool{}
+		for _, l := range ranges {
+			complete := !l.assignment.Incomplete
+			for i, owner := range l.assignment.Lineage {
+				complete = d.importFrom(n, owner, l.guardians[i], l.assignment.Range) && complete
+			}
+			if !complete {
+				d.metrics.GetOrCreateCounter("hibiscus_ranges_blocked_total").Inc()
+				n.dispatcher.Rows(func(t *deduper.Table) {
+					t.Block(timer.Now(), deduper.Block{Service: n.server.Service, Range: l.assignment.Range, Remaining: window})
+				})
+			}
+			epochs[l.assignment.Epoch] = true
+		}
+		d.settleEpochs(n, epochs)
+	})
+}
+
+func presentGuardians(s *applier.State, owner applier.MemberID) []applier.Member {
+	removal, known := s.Removal(owner)
+	if !known {
+		return nil
+	}
+	var guardians []applier.Member
+	for _, g := range removal.Guardians {
+		if m, present := s.Members[g]; present {
+			guardians = append(guardians, *m)
+		}
+	}
+	return guardians
+}
+
+// importFrom imports the rows that the guardians of a lost owner hold, and reports whether one of them holds all.
+func (d *Daemon) importFrom(n *incarnation, owner applier.MemberID, guardians []applier.Member, r hasher.Range) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), rowsTimeout)
+	defer cancel()
+	complete := false
+	for _, g := range guardians {
+		question := encoder.RowsQuery{Owner: owner, Service: n.server.Service, Range: r}
+		var rows encoder.Rows
+		if g.ID == n.id {
+			rows = d.queryRows(question).(encoder.Rows)
+		} else {
+			var err error
+			if rows, err = ask[encoder.Rows](ctx, d, g.Address, question); err != nil {
+				continue
+			}
+		}
+		n.dispatcher.Rows(func(t *deduper.Table) { t.Import(timer.Now(), rows.Rows) })
+		complete = complete || rows.Complete
+		if complete {
+			break
+		}
+	}
+	return complete
+}
+
+// settleEpochs gives the imported rows to this member's own guardians and admits non-repeatable requests again.
+func (d *Daemon) settleEpochs(n *incarnation, epochs map[applier.Offset]bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), rowsTimeout)
+	defer cancel()
+	guardians, _ := d.guardiansOf(n.id)
+	if err := d.pushAll(ctx, n, guardians); err != nil {
+		d.metrics.GetOrCreateCounter("hibiscus_rows_unsent_total").Inc()
+		return
+	}
+	var newest applier.Offset
+	for epoch := range epochs {
+		n.fetched.Store(epoch, true)
+		newest = max(newest, epoch)
+	}
+	d.appendOnce(applier.Settle{Member: n.id, AsOf: newest})
+}
--- /dev/null
+++ b/daemon/streams.go
@@ -0,0 +1,293 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"hibiscusline/applier"
+	"hibiscusline/encoder"
+	"hibiscusline/leaser"
+	"hibiscusline/router"
+	"hibiscusline/transporter"
+)
+
+const fetchLimit = 500
+
+// handleDatagram takes a lease message and notes who has applied more than this process.
+func (d *Daemon) handleDatagram(from netip.AddrPort, payload []byte) {
+	g, err := encoder.DecodeDatagram(payload)
+	if err != nil {
+		d.metrics.GetOrCreateCounter("hibiscus_datagrams_refused_total").Inc()
+		return
+	}
+	d.heard.Store(int64(time.Since(d.started)))
+	d.metrics.GetOrCreateCounter("hibiscus_datagrams_received_total").Inc()
+	if g.Load != nil {
+		d.learnLoad(g.From, *g.Load)
+	}
+	if g.Applied > d.state.Applied() {
+		select {
+		case d.behind <- from:
+		default:
+		}
+	}
+	n := d.incarnation()
+	if n == nil || len(g.Lease) == 0 {
+		return
+	}
+	message, err := leaser.DecodeMessage(g.Lease)
+	if err != nil {
+		d.metrics.GetOrCreateCounter("hibiscus_datagrams_refused_total").Inc()
+		return
+	}
+	d.step(n, leaser.Received{From: g.From, Message: message})
+}
+
+// handleStream serves one exchange that a peer opened.
+func (d *Daemon) handleStream(_ context.Context, stream *transporter.Stream) {
+	message, err := encoder.Read(stream)
+	if err != nil {
+		d.metrics.GetOrCreateCounter("hibiscus_streams_refused_total").Inc()
+		stream.CancelRead(transporter.ResetCancelled)
+		stream.CancelWrite(transporter.ResetCancelled)
+		return
+	}
+	if request, ok := message.(encoder.Request); ok {
+		d.serveRequest(stream, request)
+		return
+	}
+	answer := d.answer(stream.Context(), message)
+	if err := encoder.Write(stream, answer); err != nil {
+		stream.CancelWrite(transporter.ResetCancelled)
+		return
+	}
+	// A peer that has gone needs no answer.
+	_ = stream.Close()
+}
+
+// answer handles the messages other than requests.
+func (d *Daemon) answer(ctx context.Context, message encoder.Message) encoder.Message {
+	switch m := message.(type) {
+	case encoder.Fetch:
+		b, kept := d.state.Since(m.From, fetchLimit)
+		return encoder.Records{Start: b.Start, Records: b.Records, Trimmed: !kept}
+	case encoder.StateQuery:
+		if !d.state.Ready() {
+			return encoder.State{}
+		}
+		encoded, err := d.state.Encoded()
+		if err != nil {
+			d.log("state", "state not encoded", "err", err)
+			return encoder.State{}
+		}
+		return encoder.State{Encoded: encoded}
+	case encoder.RecordRows:
+		return d.recordRows(m)
+	case encoder.RowsQuery:
+		return d.queryRows(m)
+	case encoder.Transfer:
+		return d.acceptTransfer(ctx, m)
+	}
+	return encoder.Ack{Refused: "message is not a question"}
+}
+
+// serveRequest runs a forwarded request on the backend server.
+func (d *Daemon) serveRequest(stream *transporter.Stream, head encoder.Request) {
+	sink := &streamSink{stream: stream}
+	n := d.incarnation()
+	if n == nil {
+		sink.finish(sink.Respond(encoder.Response{Outcome: encoder.NotRun, Reason: encoder.NotOwner}))
+		return
+	}
+	// A request that was routed by a newer state than this process has must not be refused for its lag.
+	if head.Applied > d.state.Applied() {
+		d.awaitApplied(stream.Context(), head.Applied)
+	}
+	sink.finish(n.dispatcher.Serve(stream.Context(), head, stream, sink))
+	stream.CancelRead(transporter.ResetCancelled)
+}
+
+// awaitApplied waits a short time until this process has applied an offset.
+func (d *Daemon) awaitApplied(ctx context.Context, offset applier.Offset) {
+	const bound = 200 * time.Millisecond
+	ctx, cancel := context.WithTimeout(ctx, bound)
+	defer cancel()
+	d.kick()
+	for {
+		changed := d.state.Changed()
+		if d.state.Applied() >= offset {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// streamSink sends an answer on a stream.
+type streamSink struct {
+	stream *transporter.Stream
+}
+
+// Respond writes the head of the answer.
+func (s *streamSink) Respond(r encoder.Response) error { return encoder.Write(s.stream, r) }
+
+// Write writes a part of the body.
+func (s *streamSink) Write(p []byte) (int, error) { return s.stream.Write(p) }
+
+// finish ends the stream, or resets it so that the entry sees an answer that broke off.
+func (s *streamSink) finish(err error) {
+	if err != nil {
+		s.stream.CancelWrite(transporter.ResetTruncated)
+		return
+	}
+	// An entry that has gone needs no answer.
+	_ = s.stream.Close()
+}
+
+// ask sends a message to a peer and returns its answer of type A.
+func ask[A encoder.Message](ctx context.Context, d *Daemon, address netip.AddrPort, question encoder.Message) (A, error) {
+	var none A
+	stream, err := d.transport.Open(ctx, address)
+	if err != nil {
+		return none, err
+	}
+	stop := context.AfterFunc(ctx, func() {
+		stream.CancelRead(transporter.ResetCancelled)
+		stream.CancelWrite(transporter.ResetCancelled)
+	})
+	defer stop()
+	if err := encoder.Write(stream, question); err != nil {
+		return none, err
+	}
+	if err := stream.Close(); err != nil {
+		return none, err
+	}
+	answer, err := encoder.ReadAs[A](stream)
+	stream.CancelRead(transporter.ResetCancelled)
+	return answer, errors.Wrap(err, "read answer")
+}
+
+// exchanger sends requests to members, over QUIC or directly when the member is this process.
+type exchanger Daemon
+
+// Exchange implements router.Exchanger.
+func (x *exchanger) Exchange(ctx context.Context, m applier.Member, head encoder.Request, body router.Body) (encoder.Response, router.ResponseBody) {
+	d := (*Daemon)(x)
+	if n := d.incarnation(); n != nil && n.id == m.ID {
+		return serveLocally(ctx, n, head, body)
+	}
+	stream, err := d.transport.Open(ctx, m.Address)
+	if err != nil {
+		return encoder.Response{Outcome: encoder.NotRun, Reason: encoder.PeerUnreachable}, nil
+	}
+	stop := context.AfterFunc(ctx, func() {
+		stream.CancelRead(transporter.ResetCancelled)
+		stream.CancelWrite(transporter.ResetCancelled)
+	})
+	if err := encoder.Write(stream, head); err != nil {
+		stop()
+		return encoder.Response{Outcome: encoder.Unknown, Reason: encoder.PeerUnreachable}, nil
+	}
+	go sendBody(stream, body)
+	response, err := encoder.ReadAs[encoder.Response](stream)
+	if err != nil {
+		stop()
+		stream.CancelRead(transporter.ResetCancelled)
+		stream.CancelWrite(transporter.ResetCancelled)
+		return encoder.Response{Outcome: encoder.Unknown, Reason: lossReason(ctx)}, nil
+	}
+	d.learnLoad(m.ID, response.Load)
+	if response.Outcome != encoder.Answered {
+		stop()
+		stream.CancelRead(transporter.ResetCancelled)
+		stream.CancelWrite(transporter.ResetCancelled)
+		return response, nil
+	}
+	return response, &streamBody{stream: stream, stop: stop}
+}
+
+func lossReason(ctx context.Context) encoder.Reason {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return encoder.DeadlineExceeded
+	}
+	return encoder.PeerUnreachable
+}
+
+func sendBody(stream *transporter.Stream, body io.Reader) {
+	if _, err := io.Copy(stream, body); err != nil {
+		stream.CancelWrite(transporter.ResetTruncated)
+		return
+	}
+	// The owner has answered already when closing fails.
+	_ = stream.Close()
+}
+
+// streamBody is the body of an answer on a stream.
+type streamBody struct {
+	stream *transporter.Stream
+	stop   func() bool
+}
+
+// Read reads the body. It returns io.EOF only after the whole body.
+func (b *streamBody) Read(p []byte) (int, error) { return b.stream.Read(p) }
+
+// Close releases the stream.
+func (b *streamBody) Close() error {
+	b.stop()
+	b.stream.CancelRead(transporter.ResetCancelled)
+	b.stream.CancelWrite(transporter.ResetCancelled)
+	return nil
+}
+
+// serveLocally runs a request on the backend server beside this process.
+func serveLocally(ctx context.Context, n *incarnation, head encoder.Request, body io.Reader) (encoder.Response, router.ResponseBody) {
+	reader, writer := io.Pipe()
+	sink := &pipeSink{responses: make(chan encoder.Response, 1), writer: writer}
+	go func() {
+		err := n.dispatcher.Serve(ctx, head, body, sink)
+		// CloseWithError never returns an error; a nil error ends the body with io.EOF.
+		_ = writer.CloseWithError(err)
+		close(sink.responses)
+	}()
+	select {
+	case response, ok := <-sink.responses:
+		if !ok {
+			return encoder.Response{Outcome: encoder.Unknown, Reason: encoder.BackendFailed}, nil
+		}
+		if response.Outcome != encoder.Answered {
+			return response, nil
+		}
+		return response, reader
+	case <-ctx.Done():
+		// The dispatcher sees the same context. Its verdict decides whether the request ran.
+		response, ok := <-sink.responses
+		if !ok || response.Outcome == encoder.Answered {
+			_ = reader.Close()
+			return encoder.Response{Outcome: encoder.Unknown, Reason: lossReason(ctx)}, nil
+		}
+		return response, nil
+	}
+}
+
+// pipeSink takes an answer within the process.
+type pipeSink struct {
+	responses chan encoder.Response
+	writer    *io.PipeWriter
+}
+
+// Respond passes the head of the answer on.
+func (s *pipeSink) Respond(r encoder.Response) error {
+	s.responses <- r
+	return nil
+}
+
+// Write passes a part of the body on.
+func (s *pipeSink) Write(p []byte) (int, error) { return s.writer.Write(p) }
+
--- /dev/null
+++ b/dispatcher/dispatcher.go
@@ -0,0 +1,236 @@
+package dispatcher
+
+import (
+	"context"
+	"io"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"hibiscusline/admitter"
+	"hibiscusline/applier"
+	"hibiscusline/deduper"
+	"hibiscusline/encoder"
+	"hibiscusline/follower"
+	"hibiscusline/hasher"
+	"hibiscusline/timer"
+)
+
+// Replicator keeps idempotency rows at this process's guardians.
+type Replicator interface {
+	// Record returns when every guardian that this process counts on has the row.
+	Record(ctx context.Context, row deduper.Row) error
+	// Publish sends a row without waiting.
+	Publish(row deduper.Row)
+	// Forget tells the guardians that an attempt was refused before dispatch.
+	Forget(ref deduper.Ref)
+}
+
+// Config configures a Dispatcher.
+type Config struct {
+	State      *follower.Follower
+	Lease      Lease
+	Self       func() applier.MemberID
+	Replicator Replicator
+	// Service is the service of the backend server.
+	Service   string
+	Admission admitter.Config
+	// Connections is the largest number of connections to the backend server.
+	Connections int
+	// Fetched reports whether the idempotency rows of a range taken over at an epoch are here.
+	Fetched func(epoch applier.Offset) bool
+	// Crashed is told the fingerprints that were in flight when the backend server crashed.
+	Crashed func(fingerprints []uint64)
+	// Cleared is told a suspect that completed.
+	Cleared func(fingerprint uint64)
+	Metrics *metrics.Set
+}
+
+// Dispatcher runs requests on one backend server.
+type Dispatcher struct {
+	config    Config
+	gate      *gate
+	backend   *backend
+	ownership ownership
+	parents   parents
+	rows      rows
+	suspects  suspects
+	observe   func(p hasher.Position)
+
+	mu      sync.Mutex
+	address netip.AddrPort
+}
+
+// Sink takes the answer of one request.
+type Sink interface {
+	// Respond sends the head of the answer. It is called once.
+	Respond(encoder.Response) error
+	// Write sends a part of the body.
+	io.Writer
+}
+
+// New returns a dispatcher without a backend server.
+func New(c Config) *Dispatcher {
+	return &Dispatcher{
+		config: c, gate: newGate(c.Admission), backend: newBackend(c.Connections),
+		ownership: ownership{inFlight: map[uint64]hasher.Position{}, withheld: map[applier.Offset]time.Duration{}},
+		rows:      newRows(),
+		suspects:  newSuspects(),
+	}
+}
+
+// Observe sets a function that is told the position of every keyed request that was admitted. It must be set before the
+// first request.
+func (d *Dispatcher) Observe(f func(p hasher.Position)) { d.observe = f }
+
+// SetBackend sets the address and the slots of the backend server. Zero slots refuse all requests.
+func (d *Dispatcher) SetBackend(address netip.AddrPort, slots int) {
+	d.mu.Lock()
+	d.address = address
+	d.mu.Unlock()
+	if slots > 0 {
+		d.backend.lost.Store(false)
+	}
+	d.gate.apply(admitter.Resize{Slots: slots})
+}
+
+// SetRanks replaces the ranks of the admission.
+func (d *Dispatcher) SetRanks(ranks []admitter.Rank) { d.gate.apply(admitter.Reconfigure{Ranks: ranks}) }
+
+// Tick lets time pass for waiting requests. It is due every few milliseconds.
+func (d *Dispatcher) Tick() { d.gate.tick() }
+
+// Load describes the backend server as this process sees it.
+func (d *Dispatcher) Load() encoder.Load { return d.gate.load() }
+
+// Lost reports whether the backend server refused connections since it last announced itself.
+func (d *Dispatcher) Lost() bool { return d.backend.lost.Load() }
+
+// InFlight returns the number of keyed requests between their ownership check and their end.
+func (d *Dispatcher) InFlight() int {
+	d.ownership.mu.Lock()
+	defer d.ownership.mu.Unlock()
+	return len(d.ownership.inFlight)
+}
+
+// Refresh notes ranges that this process owns now, so that waiting times after a take-over start when the record is
+// applied. It is due after every change of the state.
+func (d *Dispatcher) Refresh() {
+	waits := map[applier.Offset]time.Duration{}
+	d.config.State.View(func(s *applier.State) {
+		for _, a := range s.Owned(d.config.Self()) {
+			if wait := takeOverWait(s, d.config.Service, a); wait > 0 {
+				waits[a.Epoch] = wait
+			}
+		}
+	})
+	for epoch, wait := range waits {
+		d.ownership.isWithheld(epoch, wait)
+	}
+}
+
+// Serve runs one request and sends its answer. An error means that the answer could not be sent to its end, and that the
+// caller must see it broken off.
+func (d *Dispatcher) Serve(ctx context.Context, head encoder.Request, body io.Reader, sink Sink) error {
+	started := time.Now()
+	deadline := started.Add(head.Remaining)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	j := &job{head: head, body: body, sink: sink, deadline: deadline}
+	err := d.serve(ctx, j)
+	d.config.Metrics.GetOrCreateCounter(`hibiscus_owner_requests_total{rank="` + head.Rank + `",outcome="` +
+		j.outcome.String() + `",reason="` + j.reason.String() + `"}`).Inc()
+	if j.outcome == encoder.Answered {
+		d.config.Metrics.GetOrCreateHistogram(`hibiscus_owner_seconds{rank="` + head.Rank + `"}`).UpdateDuration(started)
+	}
+	return err
+}
+
+// job is one request on its way through the dispatcher.
+type job struct {
+	head     encoder.Request
+	body     io.Reader
+	sink     Sink
+	deadline time.Time
+	grant    grant
+	outcome  encoder.Outcome
+	reason   encoder.Reason
+}
+
+// respond sends an answer without body.
+func (d *Dispatcher) respond(j *job, r encoder.Response) error {
+	j.outcome, j.reason = r.Outcome, r.Reason
+	r.Load = d.gate.load()
+	r.Applied = d.config.State.Applied()
+	if r.Outcome != encoder.Answered {
+		r.Length = 0
+	}
+	return j.sink.Respond(r)
+}
+
+func (d *Dispatcher) refuse(j *job, reason encoder.Reason) error {
+	return d.respond(j, encoder.Response{Outcome: encoder.NotRun, Reason: reason})
+}
+
+func (d *Dispatcher) serve(ctx context.Context, j *job) error {
+	if j.head.Target != d.config.Self() || j.head.Service != d.config.Service {
+		return d.refuse(j, encoder.NotOwner)
+	}
+	if d.backend.lost.Load() {
+		return d.refuse(j, encoder.BackendLost)
+	}
+	if j.head.Keyed {
+		granted, reason := d.enter(j.head.Service, j.head.At)
+		if reason != encoder.NoReason {
+			return d.refuse(j, reason)
+		}
+		j.grant = granted
+		defer granted.release()
+		if d.observe != nil {
+			d.observe(j.head.At)
+		}
+	}
+	if j.head.IdempotencyKey != "" {
+		return d.serveOnce(ctx, j)
+	}
+	return d.admitAndRun(ctx, j, j.sink, nil)
+}
+
+// admitAndRun waits for a slot and runs the request. The settle function, if any, is told how the request ended before
+// its answer goes out.
+func (d *Dispatcher) admitAndRun(ctx context.Context, j *job, sink Sink, settle func(ending)) error {
+	if settle == nil {
+		settle = func(ending) {}
+	}
+	fingerprint := fingerprintOf(j.head)
+	alone, refused := d.suspects.verdict(fingerprint, j.head.Suspected)
+	if refused {
+		settle(ending{})
+		return d.refuse(j, encoder.Poison)
+	}
+	release, refusal := d.gate.admit(ctx, admitter.Arrive{
+		Rank: j.head.Rank, Deadline: timer.Now() + time.Until(j.deadline), Nested: j.head.Nested, Alone: alone,
+	})
+	if refusal != nil {
+		settle(ending{})
+		if j.head.IdempotencyKey == "" && time.Now().After(j.deadline) {
+			refusal.Reason = encoder.DeadlineExceeded
+		}
+		return d.respond(j, *refusal)
+	}
+	// The lease may have lapsed and the range may have moved while the request waited.
+	if j.head.Keyed {
+		a, reason := d.check(j.head.Service, j.head.At)
+		if reason == encoder.NoReason && a.Epoch != j.grant.assignment.Epoch {
+			reason = encoder.NotOwner
+		}
+		if reason != encoder.NoReason {
+			release(false)
+			settle(ending{})
+			return d.refuse(j, reason)
+		}
+	}
+	return d.run(ctx, j, sink, settle, fingerprint, release)
+}
--- /dev/null
+++ b/encoder/datagram.go
@@ -0,0 +1,33 @@
+package encoder
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"hibiscusline/applier"
+)
+
+// Datagram is a small periodic message between members. It is sent several times a second, so its fields are few.
+type Datagram struct {
+	From applier.MemberID `cbor:"1,keyasint"`
+	// Applied is the sender's last applied offset; a receiver with a lower one fetches the records between.
+	Applied applier.Offset `cbor:"2,keyasint"`
+	// Lease is an encoded lease message, or empty.
+	Lease []byte `cbor:"3,keyasint,omitempty"`
+	Load  *Load  `cbor:"4,keyasint,omitempty"`
+}
+
+// EncodeDatagram returns the CBOR form of a datagram.
+func EncodeDatagram(d Datagram) ([]byte, error) {
+	data, err := cbor.Marshal(d)
+	return data, errors.Wrap(err, "encode datagram")
+}
+
+// DecodeDatagram reads what EncodeDatagram wrote.
+func DecodeDatagram(data []byte) (Datagram, error) {
+	var d Datagram
+	if err := cbor.Unmarshal(data, &d); err != nil {
+		return Datagram{}, errors.Wrap(err, "decode datagram")
+	}
+	return d, nil
+}
--- a/encoder/message.go
+++ b/encoder/message.go
@@ -4,10 +4,11 @@
 	"time"
 
 	"hibiscusline/applier"
+	"hibiscusline/deduper"
 	"hibiscusline/hasher"
 )
 
-//go:generate go tool stringer -type=Outcome,Reason -linecomment -output=names.go
+//go:generate go tool stringer -type=Outcome,Reason,Completeness -linecomment -output=names.go
 
 // Outcome says what became of a request.
 type Outcome uint8
@@ -48,6 +49,8 @@
 	OutcomeUnknown                  // outcome_unknown
 	RowsMissing                     // idempotency_rows_missing
 	GuardiansSilent                 // guardians_unreachable
+	// RowsPending means that a new owner is still fetching the idempotency rows of a range.
+	RowsPending // idempotency_rows_pending
 	BodyTooLarge                    // body_too_large
 	FencedOff                       // fenced_off
 	RetriesExhausted                // retries_exhausted
@@ -57,7 +60,7 @@
 // Transient reports whether a request that was not run for this reason may run soon at the same or another process.
 func (r Reason) Transient() bool {
 	switch r {
-	case NotOwner, NoLease, Moving, NoOwner, NotReady, Stopping, PeerUnreachable, FencedOff, BackendLost:
+	case NotOwner, NoLease, Moving, NoOwner, NotReady, Stopping, PeerUnreachable, FencedOff, BackendLost, GuardiansSilent, RowsPending:
 		return true
 	}
 	return false
@@ -133,12 +136,26 @@
 	Encoded []byte `cbor:"1,keyasint"`
 }
 
-// RecordRows gives encoded idempotency rows of an owner to one of its guardians. The answer is an Ack.
+// RecordRows gives idempotency rows of an owner to one of its guardians. The answer is an Ack.
 type RecordRows struct {
 	Owner applier.MemberID `cbor:"1,keyasint"`
-	Rows  []byte           `cbor:"2,keyasint"`
+	Rows  []deduper.Row    `cbor:"2,keyasint,omitempty"`
+	// Forget names attempts that were refused before dispatch.
+	Forget []deduper.Ref `cbor:"3,keyasint,omitempty"`
+	// Complete says whether the guardian now holds all rows of the owner.
+	Complete Completeness `cbor:"4,keyasint,omitempty"`
 }
 
+// Completeness is an owner's statement about the rows that a guardian holds.
+type Completeness uint8
+
+// Statements about completeness.
+const (
+	Unchanged  Completeness = iota // unchanged
+	Complete                       // complete
+	Incomplete                     // incomplete
+)
+
 // RowsQuery asks a guardian for the rows of a lost owner that lie in a range. The answer is Rows.
 type RowsQuery struct {
 	Owner   applier.MemberID `cbor:"1,keyasint"`
@@ -146,9 +163,10 @@
 	Range   hasher.Range     `cbor:"3,keyasint"`
 }
 
-// Rows holds encoded idempotency rows.
+// Rows answers RowsQuery. Complete means that the guardian holds all rows of the owner.
 type Rows struct {
-	Rows []byte `cbor:"1,keyasint"`
+	Rows     []deduper.Row `cbor:"1,keyasint,omitempty"`
+	Complete bool          `cbor:"2,keyasint,omitempty"`
 }
 
 // Transfer hands the idempotency rows of ranges to the member that is to own them. The answer is an Ack.
@@ -156,7 +174,8 @@
 	From    applier.MemberID     `cbor:"1,keyasint"`
 	Service string               `cbor:"2,keyasint"`
 	Ranges  []applier.RangeEpoch `cbor:"3,keyasint"`
-	Rows    []byte               `cbor:"4,keyasint"`
+	Rows    []deduper.Row        `cbor:"4,keyasint,omitempty"`
+	Blocks  []deduper.Block      `cbor:"5,keyasint,omitempty"`
 }
 
 // Ack confirms a message, or refuses it with a reason.
