--- /dev/null
+++ b/leaser/machine_test.go
@@ -0,0 +1,163 @@
+package leaser
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"hibiscusline/applier"
+)
+
+func nothing() {}
+
+// TestNoTwoOwners guards against a member that serves after its ranges went to a successor, under random faults.
+func TestNoTwoOwners(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(2, 5).Draw(t, "processes")
+		s := newSimulation(rapid.Uint64().Draw(t, "seed"), count, rapid.IntRange(1, 4).Draw(t, "zones"),
+			rapid.SampledFrom([]float64{0, 0.02, 0.1, 0.4}).Draw(t, "noise"))
+		check := func() {
+			if p := s.unsafeOwner(); p != nil {
+				t.Fatalf("at %s member %s serves after its take-over", s.now, p.id)
+			}
+		}
+		s.run(time.Duration(rapid.IntRange(0, 4000).Draw(t, "calm"))*time.Millisecond, check)
+		for range rapid.IntRange(1, 16).Draw(t, "faults") {
+			s.injectFault(t)
+			s.run(time.Duration(rapid.IntRange(0, 1500).Draw(t, "wait"))*time.Millisecond, check)
+		}
+		s.run(5*time.Second, check)
+	})
+}
+
+func (s *simulation) injectFault(t *rapid.T) {
+	p := s.processes[rapid.IntRange(0, len(s.processes)-1).Draw(t, "process")]
+	until := s.now + time.Duration(rapid.IntRange(1, 3000).Draw(t, "duration"))*time.Millisecond
+	switch rapid.SampledFrom([]string{"pause", "lag", "cut", "kill", "evict", "log", "stop", "all"}).Draw(t, "fault") {
+	case "pause":
+		p.pausedUntil = until
+	case "lag":
+		p.lagUntil = until + 3*time.Second
+	case "cut":
+		p.cutUntil = until
+	case "kill":
+		p.alive, p.restartAt = false, until
+	case "evict":
+		p.alive, p.restartAt = false, until
+		s.append(applier.Evict{Member: p.id})
+	case "log":
+		s.logDownUntil = until
+	case "stop":
+		s.step(p, Stopping{})
+		p.leaveAt = until
+	case "all":
+		for _, q := range s.processes {
+			q.cutUntil = until
+		}
+	}
+}
+
+// calm returns a running cluster in which every member has its guardians.
+func calm(t *testing.T, seed uint64, count int) *simulation {
+	s := newSimulation(seed, count, 3, 0)
+	s.run(12*time.Second, nothing)
+	for _, p := range s.processes {
+		require.Len(t, s.truth.Members[p.id].Guardians, min(2, count-1))
+		require.True(t, s.valid(p))
+	}
+	return s
+}
+
+// TestTakeOverOfKilledOwner guards against ranges that stay without owner after the loss of a member, alone or together
+// with one or both of its guardians.
+func TestTakeOverOfKilledOwner(t *testing.T) {
+	for seed := range uint64(30) {
+		for _, lostGuardians := range []int{0, 1, 2} {
+			s := calm(t, seed, 7)
+			owner := s.processes[int(seed)%7]
+			lost := append([]applier.MemberID{owner.id}, s.truth.Members[owner.id].Guardians[:lostGuardians]...)
+			for _, id := range lost {
+				s.find(id).alive = false
+			}
+			s.run(12*time.Second, nothing)
+			for _, id := range lost {
+				removal, removed := s.truth.Removal(id)
+				require.True(t, removed, "seed %d, %d guardians lost: member %s is still present", seed, lostGuardians, id)
+				require.Equal(t, applier.TakenOver, removal.Cause)
+			}
+			for _, p := range s.processes {
+				require.Equal(t, p.alive, s.valid(p))
+			}
+		}
+	}
+}
+
+// TestOwnersServeDuringLogOutage guards against a lease that depends on the log, also when a guardian dies in the outage
+// and when a single member gets its first guardians in it.
+func TestOwnersServeDuringLogOutage(t *testing.T) {
+	for seed := range uint64(30) {
+		s := calm(t, seed, 5)
+		killed := s.processes[int(seed)%5]
+		s.logDownUntil = s.now + 30*time.Second
+		check := func() {
+			for _, p := range s.processes {
+				require.Equal(t, p.alive, s.valid(p), "seed %d at %s: member %s", seed, s.now, p.id)
+			}
+		}
+		s.run(5*time.Second, check)
+		killed.alive = false
+		s.run(40*time.Second, check)
+		require.Contains(t, s.truth.Removals, removalOf(s, killed.id))
+	}
+}
+
+func removalOf(s *simulation, id applier.MemberID) applier.Removal {
+	removal, _ := s.truth.Removal(id)
+	removal.ID = id
+	return removal
+}
+
+// TestMutualGuardiansAreAvoided guards against pairs that could not be taken over if both were lost.
+func TestMutualGuardiansAreAvoided(t *testing.T) {
+	for seed := range uint64(10) {
+		s := newSimulation(seed, 12, 4, 0)
+		s.run(60*time.Second, nothing)
+		for id, member := range s.truth.Members {
+			for _, g := range member.Guardians {
+				require.NotEqual(t, member.Zone, s.truth.Members[g].Zone)
+				require.False(t, s.truth.Members[g].GuardedBy(id), "seed %d: %s and %s", seed, id, g)
+			}
+		}
+	}
+}
+
+// TestGracefulStop guards against an owner that loses its lease while a guardian stops gracefully.
+func TestGracefulStop(t *testing.T) {
+	for _, count := range []int{2, 6} {
+		s := calm(t, 1, count)
+		stopped := s.processes[0]
+		s.step(stopped, Stopping{})
+		stopped.leaveAt = s.now + 3*time.Second
+		s.run(3*time.Second+100*time.Millisecond, func() {
+			for _, p := range s.processes {
+				require.True(t, p.id != stopped.id && s.valid(p) || p == stopped)
+			}
+		})
+	}
+}
+
+// TestRecoveryFromLostMessages guards against members that wait for each other's lease for ever after a cut of all.
+func TestRecoveryFromLostMessages(t *testing.T) {
+	for seed := range uint64(20) {
+		s := calm(t, seed, 2+int(seed)%5)
+		for _, p := range s.processes {
+			p.cutUntil = s.now + time.Duration(500+100*seed)*time.Millisecond
+		}
+		s.run(25*time.Second, nothing)
+		for _, p := range s.processes {
+			require.True(t, s.valid(p), "seed %d: member %s", seed, p.id)
+		}
+	}
+}
