operator, reporter, cmd/hibiscusctl: commands of operators

Commands read the log themselves and need no running process, so that a cluster can be configured before its first member starts. A record whose outcome is not known is reported with its id; repeating the command with --id takes effect at most once. evict asks the member's admin endpoint first and refuses when the member answers, because evicting a live owner gives its keys two servers; an answer of another incarnation shows that the process is gone. status works from addresses alone while the log is down. reporter holds the JSON bodies of the admin endpoint, so that hibiscusd need not import the command line. Golden transcripts cover every command against the log stand-in and stand-ins of members.

--- /dev/null
+++ b/operator/operator_test.go
@@ -0,0 +1,212 @@
+package operator_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+	"github.com/stretchr/testify/require"
+
+	"hibiscusline/applier"
+	"hibiscusline/emulator"
+	"hibiscusline/operator"
+)
+
+const stream = "test"
+
+// unused refuses connections: ports below 1024 are not handed out to other tests.
+var unused = netip.MustParseAddrPort("127.0.0.1:1")
+
+// fixture is a log and the transcript of commands that ran against it.
+type fixture struct {
+	t          *testing.T
+	log        *emulator.Log
+	address    string
+	masks      []string
+	transcript strings.Builder
+}
+
+func newFixture(t *testing.T) *fixture {
+	f := &fixture{t: t, log: emulator.NewLog(emulator.LogConfig{})}
+	f.address = f.serve(f.log, "LOG").String()
+	return f
+}
+
+// serve starts a server, whose address the transcript shows as a name.
+func (f *fixture) serve(h http.Handler, name string) netip.AddrPort {
+	server := httptest.NewServer(h)
+	f.t.Cleanup(server.Close)
+	address := server.Listener.Addr().String()
+	f.masks = append(f.masks, address, name)
+	return netip.MustParseAddrPort(address)
+}
+
+func (f *fixture) run(args ...string) operator.Code {
+	var out, err bytes.Buffer
+	code := operator.Run(context.Background(), operator.Config{Out: &out, Err: &err}, args)
+	text := fmt.Sprintf("$ hibiscusctl %s\n%s%sexit %d\n\n", strings.Join(args, " "), out.String(), err.String(), int(code))
+	f.transcript.WriteString(strings.NewReplacer(f.masks...).Replace(text))
+	return code
+}
+
+func (f *fixture) logged(args ...string) operator.Code {
+	return f.run(append(args, "--log", f.address, "--stream", stream)...)
+}
+
+func (f *fixture) append(id string, r applier.Record) {
+	data, err := applier.Encode(applier.Envelope{ID: id, Record: r})
+	require.NoError(f.t, err)
+	f.log.Append(stream, data)
+}
+
+func (f *fixture) file(name, content string) string {
+	path := filepath.Join(f.t.TempDir(), name)
+	require.NoError(f.t, os.WriteFile(path, []byte(content), 0o600))
+	f.masks = append(f.masks, path, name)
+	return path
+}
+
+func (f *fixture) requireGolden(name string) {
+	goldie.New(f.t).Assert(f.t, name, []byte(f.transcript.String()))
+}
+
+const vatilaane = "../settings/vatilaane.json"
+
+func edited(t *testing.T, old, new string) string {
+	data, err := os.ReadFile(vatilaane)
+	require.NoError(t, err)
+	require.Contains(t, string(data), old)
+	return strings.Replace(string(data), old, new, 1)
+}
+
+// TestPublishing guards the way of a change from file to force, with every refusal on it.
+func TestPublishing(t *testing.T) {
+	f := newFixture(t)
+	changed := f.file("changed.json", edited(t, `"floor": 0.4`, `"floor": 0.5`))
+	other := f.file("other.json", edited(t, `"floor": 0.25`, `"floor": 0.2`))
+	broken := f.file("broken.json", edited(t, `"floor": 0.4`, `"flor": 2`))
+	require.Equal(t, operator.Done, f.run("validate", vatilaane))
+	require.Equal(t, operator.BadInput, f.run("validate", broken))
+	require.Equal(t, operator.Done, f.logged("history"))
+	require.Equal(t, operator.Done, f.logged("propose", vatilaane, "--as", "liis", "--comment", "first"))
+	require.Equal(t, operator.Done, f.logged("diff", changed))
+	require.Equal(t, operator.Done, f.logged("diff", changed, "--output", "json"))
+	require.Equal(t, operator.Rejected, f.logged("propose", changed, "--as", "mallory"))
+	require.Equal(t, operator.Done, f.logged("propose", changed, "--as", "liis", "--comment", "more for orders", "--id", "one"))
+	require.Equal(t, operator.Done, f.logged("propose", changed, "--as", "liis", "--comment", "more for orders", "--id", "one"))
+	require.Equal(t, operator.Done, f.logged("propose", other, "--as", "tormi", "--comment", "\x1b[31mred"))
+	require.Equal(t, operator.Done, f.logged("diff", "--proposal", "3"))
+	require.Equal(t, operator.Rejected, f.logged("approve", "3", "--as", "liis"))
+	require.Equal(t, operator.Rejected, f.logged("approve", "77", "--as", "tormi"))
+	require.Equal(t, operator.Done, f.logged("approve", "3", "--as", "tormi"))
+	require.Equal(t, operator.Rejected, f.logged("reject", "5", "--as", "liis"))
+	require.Equal(t, operator.Rejected, f.logged("propose", other, "--as", "tormi", "--base", "1"))
+	require.Equal(t, operator.Done, f.logged("propose", changed, "--as", "tormi"))
+	require.Equal(t, operator.Done, f.logged("history"))
+	require.Equal(t, operator.Rejected, f.logged("approve", "5", "--as", "liis", "--output", "json"))
+	f.requireGolden("publishing")
+}
+
+// TestBadInput guards the exit codes and messages for arguments that can't be used and for a log that isn't there.
+func TestBadInput(t *testing.T) {
+	f := newFixture(t)
+	for _, args := range [][]string{
+		{"publish"},
+		{"validate"},
+		{"validate", "absent.json"},
+		{"diff"},
+		{"diff", vatilaane},
+		{"diff", vatilaane, "--log", "localhost"},
+		{"diff", "--proposal", "x", "--log", f.address},
+		{"propose", vatilaane, "--log", f.address},
+		{"approve", "-1", "--as", "liis", "--log", f.address},
+		{"approve", "0", "--as", "liis", "--log", f.address},
+		{"history", "--output", "yaml"},
+		{"history", "--timeout", "0s"},
+		{"history", "--timeout", "5"},
+		{"history", "--stream", ""},
+		{"status", "nowhere"},
+		{"evict", "x", "--as", "liis", "--log", f.address},
+		{"move", "--service", "s", "--log", f.address},
+		{"drain", "nobody", "--log", f.address},
+	} {
+		require.Equal(t, operator.BadInput, f.run(args...), args)
+	}
+	f.requireGolden("bad_input")
+	require.Equal(t, operator.Unreachable, f.run("history", "--log", unused.String()))
+	require.NoError(t, f.log.Change(func(s *emulator.LogSettings) { s.Down = emulator.Refuse }))
+	require.Equal(t, operator.Unreachable, f.logged("propose", vatilaane, "--as", "liis"))
+}
+
+// TestLostAnswer guards against a proposal that is reported as failed, or appended as a second one, after its answer
+// was lost.
+func TestLostAnswer(t *testing.T) {
+	f := newFixture(t)
+	require.NoError(t, f.log.Change(func(s *emulator.LogSettings) { s.LoseAnswers = 1 }))
+	require.Equal(t, operator.Done, f.logged("propose", vatilaane, "--as", "liis"))
+	require.Contains(t, f.transcript.String(), "proposal 1 is in_force")
+}
+
+// member is a stand-in for a hibiscusd's admin endpoint.
+func member(status string) http.Handler {
+	mux := http.NewServeMux()
+	reply := func(code int, body string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(code)
+			_, _ = w.Write([]byte(body))
+		}
+	}
+	mux.HandleFunc("GET /status", reply(http.StatusOK, status))
+	mux.HandleFunc("GET /dump", reply(http.StatusOK, `{"queue":{"order":3}}`))
+	mux.HandleFunc("POST /drain", reply(http.StatusOK, ""))
+	mux.HandleFunc("POST /move", func(w http.ResponseWriter, r *http.Request) {
+		var body bytes.Buffer
+		_, _ = body.ReadFrom(r.Body)
+		reply(http.StatusConflict, fmt.Sprintf(`{"message": %q}`, "busy with "+strings.TrimSpace(body.String())))(w, r)
+	})
+	return mux
+}
+
+// TestMembers guards the commands on members: what status shows of each kind of member, and that evict refuses one that
+// answers.
+func TestMembers(t *testing.T) {
+	f := newFixture(t)
+	require.Equal(t, operator.Done, f.logged("propose", vatilaane, "--as", "liis"))
+	gone := f.serve(nil, "GONE")
+	admins := []netip.AddrPort{
+		f.serve(member(`{"member":"0000000000000001","name":"a","zone":"z1","service":"stock-lookup","version":1,"applied":4,
+			"lease":{"held":true,"remaining_ms":640},"owned":[{"range":{"low":0,"high":9},"epoch":2}]}`), "A"),
+		f.serve(member(`{"member":"0000000000000002","name":"b","zone":"z2","service":"stock-lookup","version":0,"applied":1,
+			"lease":{"held":false},"draining":true}`), "B"),
+		unused, f.serve(member(`{"member":"0000000000000009"}`), "REUSED"), gone,
+	}
+	for i, name := range []string{"a", "b", "c", "d", "d"} {
+		f.append(fmt.Sprint("join", i), applier.Join{Member: applier.Member{
+			ID: applier.MemberID(i + 1), Name: name, Zone: fmt.Sprint("z", i+1), Service: "stock-lookup", Admin: admins[i], Slots: 12,
+		}})
+	}
+	require.Equal(t, operator.Done, f.logged("status"))
+	require.Equal(t, operator.Done, f.run("status", admins[0].String(), "--output", "json"))
+	require.Equal(t, operator.Done, f.logged("dump", "a"))
+	require.Equal(t, operator.Rejected, f.logged("dump", "0000000000000005"))
+	require.Equal(t, operator.Done, f.run("drain", admins[1].String()))
+	require.Equal(t, operator.Rejected, f.logged("move", "--service", "stock-lookup", "--key", "wadding", "--to", "b"))
+	require.Equal(t, operator.Done, f.logged("move", "--service", "stock-lookup", "--key", "wadding", "--to", "a"))
+	require.Equal(t, operator.BadInput, f.logged("move", "--service", "order-desk", "--key", "wadding", "--to", "a"))
+	require.Equal(t, operator.BadInput, f.logged("evict", "a", "--as", "liis"))
+	require.Equal(t, operator.Rejected, f.logged("evict", "a", "--as", "liis", "--confirm-stopped"))
+	require.Equal(t, operator.Rejected, f.logged("evict", "0000000000000005", "--as", "liis", "--confirm-stopped"))
+	require.Equal(t, operator.Rejected, f.logged("evict", "c", "--as", "mallory", "--confirm-stopped"))
+	require.Equal(t, operator.BadInput, f.logged("evict", "d", "--as", "liis", "--confirm-stopped"))
+	require.Equal(t, operator.Done, f.logged("evict", "c", "--as", "liis", "--confirm-stopped"))
+	require.Equal(t, operator.Done, f.logged("evict", "0000000000000004", "--as", "liis", "--confirm-stopped"))
+	f.requireGolden("members")
+}
--- /dev/null
+++ b/operator/publish.go
@@ -0,0 +1,326 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"hibiscusline/applier"
+	"hibiscusline/validator"
+)
+
+func readConfiguration(path string) (validator.Configuration, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return validator.Configuration{}, &Error{Code: BadInput, Err: errors.Wrap(err, "read configuration")}
+	}
+	c, err := validator.Parse(data)
+	if err != nil {
+		return c, &Error{Code: BadInput, Err: errors.Errorf("%s can't be used:\n%s", path, err)}
+	}
+	return c, nil
+}
+
+func parseOffset(text string) (applier.Offset, error) {
+	value, err := strconv.ParseUint(text, 10, 64)
+	if err != nil || value == 0 {
+		return 0, badInput("offset is %q; allowed: a whole number of 1 or more, as history shows", text)
+	}
+	return applier.Offset(value), nil
+}
+
+func (s *session) validateCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "validate FILE",
+		Short:   "Check a configuration file",
+		Long:    "Checks a configuration file as a unit and reports every problem. It doesn't read the log.",
+		Example: "  hibiscusctl validate settings/vatilaane.json",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			c, err := readConfiguration(args[0])
+			if err != nil {
+				return err
+			}
+			return s.print(c, fmt.Sprintf("%s is valid: %d services, %d ranks, %d rules, %d key ranges, %d placements\n", args[0],
+				len(c.Services), len(c.Ranks), len(c.Rules), len(c.KeyRanges), len(c.Placements)))
+		},
+	}
+}
+
+// diffReport is the JSON form of a difference.
+type diffReport struct {
+	// Version is the configuration version in force that the changes start from.
+	Version applier.Offset     `json:"version"`
+	Changes []validator.Change `json:"changes"`
+}
+
+func (s *session) diffCommand() *cobra.Command {
+	var proposal string
+	c := &cobra.Command{
+		Use:   "diff FILE | diff --proposal OFFSET",
+		Short: "Show what a file or a pending proposal would change",
+		Long:  "Shows every field that would change against the configuration in force, as read from the log.",
+		Example: "  hibiscusctl diff settings/vatilaane.json --log 10.0.9.1:7500\n" +
+			"  hibiscusctl diff --proposal 4711 --log 10.0.9.1:7500",
+		Args: cobra.MaximumNArgs(1),
+		RunE: s.bounded(func(ctx context.Context, args []string) error {
+			if (len(args) == 1) == (proposal != "") {
+				return badInput("diff needs either a file or --proposal")
+			}
+			if proposal != "" {
+				return s.diffProposal(ctx, proposal)
+			}
+			return s.diffFile(ctx, args[0])
+		}),
+	}
+	c.Flags().StringVar(&proposal, "proposal", "", "offset of a pending proposal")
+	return c
+}
+
+func (s *session) diffFile(ctx context.Context, path string) error {
+	wanted, err := readConfiguration(path)
+	if err != nil {
+		return err
+	}
+	if err := s.load(ctx); err != nil {
+		return err
+	}
+	return s.printDiff(s.diffAgainstForce(wanted))
+}
+
+func (s *session) diffProposal(ctx context.Context, text string) error {
+	offset, err := parseOffset(text)
+	if err != nil {
+		return err
+	}
+	if err := s.load(ctx); err != nil {
+		return err
+	}
+	report, err := s.pendingDiff(offset)
+	if err != nil {
+		return err
+	}
+	return s.printDiff(report)
+}
+
+func (s *session) pendingDiff(offset applier.Offset) (diffReport, error) {
+	var found *applier.Proposal
+	s.follower.View(func(state *applier.State) {
+		for _, p := range state.Proposals {
+			if p.Offset == offset {
+				found = &p
+			}
+		}
+	})
+	switch {
+	case found == nil:
+		return diffReport{}, rejected("there is no proposal at offset %d", offset)
+	case found.Status != applier.Pending || found.Configuration == nil:
+		return diffReport{}, rejected("the proposal at offset %d is %s", offset, found.Status)
+	}
+	return s.diffAgainstForce(*found.Configuration), nil
+}
+
+func (s *session) diffAgainstForce(wanted validator.Configuration) diffReport {
+	report := diffReport{Changes: []validator.Change{}}
+	s.follower.View(func(state *applier.State) {
+		report.Version = state.Version
+		var inForce validator.Configuration
+		if state.Configuration != nil {
+			inForce = *state.Configuration
+		}
+		report.Changes = append(report.Changes, validator.Diff(inForce, wanted)...)
+	})
+	return report
+}
+
+func (s *session) printDiff(report diffReport) error {
+	return s.print(report, fmt.Sprintf("against version %d in force:\n%s", report.Version, validator.Render(report.Changes)))
+}
+
+// decision is the JSON form of what became of a proposal.
+type decision struct {
+	Offset  applier.Offset         `json:"offset"`
+	Status  applier.ProposalStatus `json:"status"`
+	Version applier.Offset         `json:"version,omitempty"`
+	Changes []validator.Change     `json:"changes,omitempty"`
+}
+
+func (s *session) proposeCommand() *cobra.Command {
+	var operator, comment, id string
+	var base uint64
+	c := &cobra.Command{
+		Use:   "propose FILE --as NAME",
+		Short: "Publish a configuration",
+		Long: "Publishes a configuration file as a proposal. Depending on the policy in force it takes effect immediately or\n" +
+			"waits for the approval of another operator. A file that changes nothing is not published.",
+		Example: "  hibiscusctl propose settings/vatilaane.json --as liis --comment \"raise the floor of orders\" --log 10.0.9.1:7500",
+		Args:    cobra.ExactArgs(1),
+	}
+	c.RunE = s.bounded(func(ctx context.Context, args []string) error {
+		wanted, err := readConfiguration(args[0])
+		if err != nil {
+			return err
+		}
+		if err := s.load(ctx); err != nil {
+			return err
+		}
+		report := s.diffAgainstForce(wanted)
+		if len(report.Changes) == 0 {
+			return s.print(report, fmt.Sprintf("no changes against version %d in force; nothing was proposed\n", report.Version))
+		}
+		if !c.Flags().Changed("base") {
+			base = uint64(report.Version)
+		}
+		return s.propose(ctx, id, report, applier.Propose{
+			Author: operator, Base: applier.Offset(base), Comment: comment, Configuration: wanted,
+		})
+	})
+	asFlag(c, &operator)
+	idFlag(c, &id)
+	c.Flags().StringVar(&comment, "comment", "", "reason for the change, kept in the history")
+	c.Flags().Uint64Var(&base, "base", 0, "version that the file was made from (default: the version in force)")
+	return c
+}
+
+func (s *session) propose(ctx context.Context, id string, report diffReport, r applier.Propose) error {
+	repeated := s.known(id).Offset > 0
+	result, err := s.commit(ctx, id, r)
+	if err != nil {
+		return err
+	}
+	d := s.decisionAt(result.Offset)
+	text := fmt.Sprintf("proposal %d is %s\n", d.Offset, d.Status)
+	if repeated {
+		// The file may differ from the one that was proposed under the id, so its changes are not shown.
+		text = fmt.Sprintf("id %s was in the log already\n", clean(id)) + text
+	} else {
+		d.Changes = report.Changes
+		text = validator.Render(report.Changes) + text
+	}
+	if d.Status == applier.Pending {
+		text += fmt.Sprintf("another operator can read it with \"diff --proposal %d\" and put it in force with \"approve %d\"\n", d.Offset, d.Offset)
+	}
+	return s.print(d, text)
+}
+
+func (s *session) decisionAt(offset applier.Offset) decision {
+	d := decision{Offset: offset}
+	s.follower.View(func(state *applier.State) {
+		for _, p := range state.Proposals {
+			if p.Offset == offset {
+				d.Status, d.Version = p.Status, p.Version
+			}
+		}
+	})
+	return d
+}
+
+func (s *session) approveCommand() *cobra.Command {
+	var operator, id string
+	c := &cobra.Command{
+		Use:     "approve OFFSET --as NAME",
+		Short:   "Put a pending proposal in force",
+		Long:    "Puts a pending proposal in force. Its author can't approve it. Read it first with diff --proposal.",
+		Example: "  hibiscusctl approve 4711 --as tormi --log 10.0.9.1:7500",
+		Args:    cobra.ExactArgs(1),
+		RunE: s.bounded(func(ctx context.Context, args []string) error {
+			return s.decide(ctx, id, args[0], func(o applier.Offset) applier.Record {
+				return applier.Approve{Operator: operator, Proposal: o}
+			})
+		}),
+	}
+	asFlag(c, &operator)
+	idFlag(c, &id)
+	return c
+}
+
+func (s *session) rejectCommand() *cobra.Command {
+	var operator, comment, id string
+	c := &cobra.Command{
+		Use:     "reject OFFSET --as NAME",
+		Short:   "End a pending proposal",
+		Long:    "Ends a pending proposal without effect. Its author may reject it too, to withdraw it.",
+		Example: "  hibiscusctl reject 4711 --as tormi --comment \"the floors add up to 1\" --log 10.0.9.1:7500",
+		Args:    cobra.ExactArgs(1),
+		RunE: s.bounded(func(ctx context.Context, args []string) error {
+			return s.decide(ctx, id, args[0], func(o applier.Offset) applier.Record {
+				return applier.Reject{Operator: operator, Proposal: o, Comment: comment}
+			})
+		}),
+	}
+	asFlag(c, &operator)
+	idFlag(c, &id)
+	c.Flags().StringVar(&comment, "comment", "", "reason, kept in the history")
+	return c
+}
+
+func (s *session) decide(ctx context.Context, id, text string, record func(applier.Offset) applier.Record) error {
+	offset, err := parseOffset(text)
+	if err != nil {
+		return err
+	}
+	if err := s.load(ctx); err != nil {
+		return err
+	}
+	if _, err := s.commit(ctx, id, record(offset)); err != nil {
+		return err
+	}
+	d := s.decisionAt(offset)
+	line := fmt.Sprintf("proposal %d is %s", d.Offset, d.Status)
+	if d.Version > 0 {
+		line += fmt.Sprintf(" from version %d on", d.Version)
+	}
+	return s.print(d, line+"\n")
+}
+
+func (s *session) historyCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "history",
+		Short:   "List proposals with author, approver and offsets",
+		Long:    "Lists the proposals that the state keeps, oldest first, with what became of each.",
+		Example: "  hibiscusctl history --log 10.0.9.1:7500",
+		Args:    cobra.NoArgs,
+		RunE: s.bounded(func(ctx context.Context, _ []string) error {
+			if err := s.load(ctx); err != nil {
+				return err
+			}
+			proposals := []applier.Proposal{}
+			s.follower.View(func(state *applier.State) { proposals = append(proposals, state.Proposals...) })
+			return s.print(proposals, historyText(proposals))
+		}),
+	}
+}
+
+func historyText(proposals []applier.Proposal) string {
+	if len(proposals) == 0 {
+		return "no proposals\n"
+	}
+	var b strings.Builder
+	w := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "OFFSET\tBASE\tSTATUS\tVERSION\tAUTHOR\tDECIDED BY\tCOMMENT\tREASON")
+	for _, p := range proposals {
+		version := "-"
+		if p.Version > 0 {
+			version = strconv.FormatUint(uint64(p.Version), 10)
+		}
+		reason := strings.ReplaceAll(p.Reason, "\n", "; ")
+		fmt.Fprintf(w, "%d\t%d\t%s\t%s\t%s\t%s\t%s\t%s\n", p.Offset, p.Base, p.Status, version, cell(p.Author), cell(p.DecidedBy),
+			cell(p.Comment), cell(reason))
+	}
+	_ = w.Flush()
+	return b.String()
+}
+
+func cell(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return clean(text)
+}
