--- a/validator/validator_test.go
+++ b/validator/validator_test.go
@@ -1,6 +1,7 @@
 package validator_test
 
 import (
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -112,26 +113,16 @@
 			c.KeyRanges = map[string]validator.KeyRange{"hot": {Service: service, Key: rapid.StringN(1, 9, 99).Draw(t, "key")}}
 		}
 		c.Services[service] = s
-		for rank := range c.Ranks {
+		for _, rank := range slices.Sorted(maps.Keys(c.Ranks)) {
 			c.Rules = append(c.Rules, validator.Rule{Name: service + rank, Service: service, PathPrefix: "/" + rank, Rank: rank})
 		}
-		c.Rules = append(c.Rules, validator.Rule{Name: service, Service: service, Rank: slices.Sorted(mapKeys(c.Ranks))[0]})
+		c.Rules = append(c.Rules, validator.Rule{Name: service, Service: service, Rank: slices.Sorted(maps.Keys(c.Ranks))[0]})
 	}
 	return c
 }
 
 func finite(f float64) bool { return f <= 1e300 }
 
-func mapKeys(ranks map[string]validator.Rank) func(func(string) bool) {
-	return func(yield func(string) bool) {
-		for name := range ranks {
-			if !yield(name) {
-				return
-			}
-		}
-	}
-}
-
 // TestEncodeParses guards against an encoded configuration that can't be published again or changes on the way.
 func TestEncodeParses(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
