retrier: retry budget and back-off with full jitter

The budget is a token bucket: each successful first try adds a share of a retry, and a minimum per second lets callers with little traffic retry. x/time/rate was ruled out since its bucket takes no deposits. A property test bounds the number of retries while a service fails.

--- /dev/null
+++ b/retrier/retrier_test.go
@@ -0,0 +1,70 @@
+package retrier
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// TestNoRetryStorm guards against retries that multiply the load of a failing service: 60 s of successes are followed by
+// 60 s in which every try fails and every caller retries as often as it may.
+func TestNoRetryStorm(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := Config{
+			Share:            rapid.Float64Range(0.01, 0.5).Draw(t, "share"),
+			MinimumPerSecond: rapid.Float64Range(0.1, 20).Draw(t, "minimum"),
+			Burst:            rapid.Float64Range(1, 200).Draw(t, "burst"),
+		}
+		perSecond := rapid.IntRange(1, 200).Draw(t, "rate")
+		failing := rapid.Float64Range(0, 1).Draw(t, "failing")
+		b := NewBudget(c)
+		for range 60 * perSecond {
+			b.Observe(true)
+		}
+		successes, retries := 0, 0
+		for i := range 60 * perSecond {
+			now := time.Hour + time.Duration(i)*time.Second/time.Duration(perSecond)
+			success := float64(i%100) >= 100*failing
+			b.Observe(success)
+			if success {
+				successes++
+				continue
+			}
+			for range 5 {
+				if !b.Allow(now) {
+					break
+				}
+				retries++
+			}
+		}
+		require.LessOrEqual(t, float64(retries), c.Burst+c.Share*float64(successes)+c.MinimumPerSecond*60+1)
+	})
+}
+
+// TestMinimum guards against a caller without successes that can never retry.
+func TestMinimum(t *testing.T) {
+	b := NewBudget(Config{Share: -1, MinimumPerSecond: 0.5})
+	require.True(t, b.Allow(time.Second))
+	require.False(t, b.Allow(2*time.Second))
+	require.True(t, b.Allow(3*time.Second))
+	require.False(t, b.Allow(time.Second), "a clock that steps back must add nothing")
+}
+
+// TestBackoff guards against back-offs beyond their bound, overflow at high attempts, and callers that retry in step.
+func TestBackoff(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		j := NewJitter(10*time.Millisecond, time.Second, rapid.Uint64().Draw(t, "seed"))
+		attempt := rapid.IntRange(-1, 1000).Draw(t, "attempt")
+		bound := 10 * time.Millisecond << min(max(attempt-1, 0), 10)
+		distinct := map[time.Duration]bool{}
+		for range 20 {
+			d := j.Backoff(attempt)
+			require.GreaterOrEqual(t, d, time.Duration(0))
+			require.Less(t, d, min(bound, time.Second))
+			distinct[d] = true
+		}
+		require.Greater(t, len(distinct), 10)
+	})
+}
