emulator: backend servers with faults, ledger and judge

Cause: experiments need backend servers that crash, freeze, shed and mislead, and a record of what really ran.

--- a/emulator/log_test.go
+++ b/emulator/log_test.go
@@ -1,7 +1,6 @@
 package emulator
 
 import (
-	"bytes"
 	"fmt"
 	"io"
 	"net/http"
@@ -41,26 +40,28 @@
 	l := NewLog(LogConfig{})
 	server := httptest.NewServer(l)
 	defer server.Close()
-	post := func(path, body string) (*http.Response, error) {
-		return http.Post(server.URL+path, "", bytes.NewBufferString(body))
+	post := func(path, body string) (int, error) {
+		status, _, err := call(t, server.URL, path, body, nil)
+		return status, err
 	}
-	control := func(body string, status int) {
-		response, err := post("/control", body)
+	control := func(body string, want int) {
+		status, err := post("/control", body)
 		require.NoError(t, err)
-		require.Equal(t, status, response.StatusCode)
+		require.Equal(t, want, status)
 	}
 	control(`{"lose_answers":1}`, http.StatusOK)
 	_, err := post("/streams/s/records", "one")
 	require.Error(t, err)
 	control(`{"down":"refuse"}`, http.StatusOK)
-	response, err := post("/streams/s/records", "refused")
+	status, err := post("/streams/s/records", "refused")
 	require.NoError(t, err)
-	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.Equal(t, http.StatusServiceUnavailable, status)
 	control(`{"down":"sideways"}`, http.StatusBadRequest)
 	control(`{"unknown":1}`, http.StatusBadRequest)
 	control(`{"down":"none"}`, http.StatusOK)
-	response, err = http.Get(server.URL + "/streams/s/records?from=1&limit=10")
+	response, err := http.Get(server.URL + "/streams/s/records?from=1&limit=10")
 	require.NoError(t, err)
+	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
 	require.NoError(t, err)
 	var reply recorder.ReadReply
--- a/emulator/logsettings.go
+++ b/emulator/logsettings.go
@@ -10,30 +10,6 @@
 	"hibiscusline/validator"
 )
 
-// Outage says how a log or a backend server fails.
-type Outage uint8
-
-// Kinds of outage.
-const (
-	NoOutage Outage = iota // none
-	Refuse                 // refuse
-	Hang                   // hang
-)
-
-// MarshalText writes the outage's name.
-func (o Outage) MarshalText() ([]byte, error) { return []byte(o.String()), nil }
-
-// UnmarshalText reads the outage's name.
-func (o *Outage) UnmarshalText(text []byte) error {
-	for candidate := NoOutage; candidate <= Hang; candidate++ {
-		if candidate.String() == string(text) {
-			*o = candidate
-			return nil
-		}
-	}
-	return errors.Errorf("unknown outage %q; allowed: none, refuse, hang", text)
-}
-
 // LogSettings are the settings of a Log that can change at run time.
 type LogSettings struct {
 	// Down fails all calls: refuse answers 503, hang gives no answer until the outage ends.
--- /dev/null
+++ b/emulator/serversettings.go
@@ -0,0 +1,102 @@
+package emulator
+
+import (
+	"bytes"
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	"hibiscusline/validator"
+)
+
+// ServerSettings are the settings of a backend server that can change at run time.
+type ServerSettings struct {
+	// ServiceTime is the mean time that a request occupies a slot.
+	ServiceTime  validator.Duration `json:"service_time"`
+	Distribution Distribution       `json:"distribution"`
+	// ConnectCost delays the first read of a new connection.
+	ConnectCost validator.Duration `json:"connect_cost"`
+	// ProbeCost is the time that /health and /load take.
+	ProbeCost validator.Duration `json:"probe_cost"`
+	// ColdStart is the time after a start for which service times are multiplied by ColdFactor (4 if zero).
+	ColdStart  validator.Duration `json:"cold_start"`
+	ColdFactor float64            `json:"cold_factor"`
+	// Shed answers 503 when all slots are busy and Queue requests wait. Without it requests wait without limit.
+	Shed  bool `json:"shed"`
+	Queue int  `json:"queue"`
+	// Load selects what /load reports; LoadValue is the utilization that a constant report shows.
+	Load      LoadReport         `json:"load"`
+	LoadValue float64            `json:"load_value"`
+	LoadLag   validator.Duration `json:"load_lag"`
+	// Failing is the probability, from 0 to 1, of answering 500 although /health reports success.
+	Failing float64 `json:"failing"`
+	// RestartTime is the time for which a crashed server refuses connections.
+	RestartTime validator.Duration `json:"restart_time"`
+	// Frozen makes the server accept connections and answer none, nor announce itself.
+	Frozen bool `json:"frozen"`
+	// Draining is announced; the server goes on answering what arrives.
+	Draining bool `json:"draining"`
+}
+
+func (s ServerSettings) check() error {
+	switch {
+	case s.ServiceTime < 0, s.ConnectCost < 0, s.ProbeCost < 0, s.ColdStart < 0, s.ColdFactor < 0, s.Queue < 0,
+		s.LoadLag < 0, s.RestartTime < 0:
+		return errors.New("durations, factors and counts must not be negative")
+	case s.Failing < 0 || s.Failing > 1:
+		return errors.Errorf("failing is %g; allowed: 0 to 1", s.Failing)
+	}
+	return nil
+}
+
+// Settings returns the settings in force.
+func (s *Server) Settings() ServerSettings {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.settings
+}
+
+// Change edits the settings and announces the server at once. Invalid settings change nothing and return an error.
+func (s *Server) Change(edit func(*ServerSettings)) error {
+	return s.change(func(settings *ServerSettings) error { edit(settings); return nil })
+}
+
+// ChangeJSON sets the fields that a JSON object holds and leaves the others. Unknown fields are errors.
+func (s *Server) ChangeJSON(data []byte) error {
+	return s.change(func(settings *ServerSettings) error {
+		decoder := json.NewDecoder(bytes.NewReader(data))
+		decoder.DisallowUnknownFields()
+		return errors.Wrap(decoder.Decode(settings), "decode settings")
+	})
+}
+
+func (s *Server) change(edit func(*ServerSettings) error) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	edited := s.settings
+	if err := edit(&edited); err != nil {
+		return err
+	}
+	if err := edited.check(); err != nil {
+		return err
+	}
+	s.settings = edited
+	s.signal()
+	return nil
+}
+
+// Drain announces that the server is leaving. It goes on answering what arrives.
+func (s *Server) Drain() { s.set(func(settings *ServerSettings) { settings.Draining = true }) }
+
+// Freeze stops all answers and announcements until Thaw.
+func (s *Server) Freeze() { s.set(func(settings *ServerSettings) { settings.Frozen = true }) }
+
+// Thaw ends a freeze.
+func (s *Server) Thaw() { s.set(func(settings *ServerSettings) { settings.Frozen = false }) }
+
+func (s *Server) set(edit func(*ServerSettings)) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	edit(&s.settings)
+	s.signal()
+}
