generator: open-loop load with outcome checks

Cause: experiments need load whose latency counts from intended times, and must see crossed, truncated and doubled answers. Ruled out: plain net/http requests. The transport sends a GET, or a request with Idempotency-Key, again on its own when a reused connection breaks, which would show as a run of a request reported as not run. Change: Poisson or fixed arrivals from a seed, Zipf keys, resends with the same Idempotency-Key, HDR histograms by stream and rank, a time series per 100 ms, ids of attempts reported as not run.

--- /dev/null
+++ b/generator/report.go
@@ -0,0 +1,133 @@
+package generator
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Report is the result of a run.
+type Report struct {
+	// Run is the prefix of all request ids of the run.
+	Run            string         `json:"run"`
+	ElapsedSeconds float64        `json:"elapsed_seconds"`
+	Streams        []StreamReport `json:"streams"`
+	// Ranks sums up the streams of each rank, in the order of their first stream.
+	Ranks []RankReport `json:"ranks"`
+	// NotRunIDs holds the X-Request-Id of the attempts that were reported as not run, for comparison with a ledger.
+	NotRunIDs        []string `json:"not_run_ids,omitempty"`
+	NotRunIDsDropped uint64   `json:"not_run_ids_dropped"`
+}
+
+// StreamReport is the result of one stream.
+type StreamReport struct {
+	Name string `json:"name"`
+	Rank string `json:"rank"`
+	Summary
+	Series []Point `json:"series"`
+}
+
+// RankReport is the result of all streams of a rank.
+type RankReport struct {
+	Rank string `json:"rank"`
+	Summary
+}
+
+// Summary counts requests and gives the latency of the answered ones from their intended send times.
+type Summary struct {
+	Counts
+	Latency Latency `json:"latency"`
+	// SendLag is the time between intended and real sending; a large value means that the generator is overloaded.
+	SendLag Latency `json:"send_lag"`
+}
+
+// Counts counts requests. Sent is the sum of Answered, NotRun and Unknown, which are final outcomes: a request that was
+// sent again is unknown if one attempt is unknown and none was answered.
+type Counts struct {
+	Sent     uint64 `json:"sent"`
+	Answered uint64 `json:"answered"`
+	NotRun   uint64 `json:"not_run"`
+	Unknown  uint64 `json:"unknown"`
+	// Overflow counts requests that were not sent because too many were in flight.
+	Overflow uint64 `json:"overflow"`
+	// WithinTarget counts requests answered with a status below 500 within the target latency.
+	WithinTarget uint64 `json:"within_target"`
+	// Crossed counts answers that belong to another request.
+	Crossed uint64 `json:"crossed"`
+	// Truncated counts answers presented as complete although a part is missing.
+	Truncated uint64 `json:"truncated"`
+	// Aborted counts attempts whose answer began and was cut. They are unknown.
+	Aborted uint64 `json:"aborted"`
+	// Unmarked counts answers without a valid Hibiscus-Outcome. They are unknown.
+	Unmarked uint64 `json:"unmarked"`
+	// Resent counts attempts after the first; AnsweredLater counts requests answered by one of these.
+	Resent        uint64 `json:"resent"`
+	AnsweredLater uint64 `json:"answered_later"`
+	// Statuses counts the HTTP statuses of answered attempts, Reasons the values of Hibiscus-Reason, and Errors the
+	// classes of transport errors: refused, timeout, cut, other.
+	Statuses map[int]uint64    `json:"statuses"`
+	Reasons  map[string]uint64 `json:"reasons"`
+	Errors   map[string]uint64 `json:"errors"`
+}
+
+// Latency holds quantiles in milliseconds.
+type Latency struct {
+	Mean float64 `json:"mean_ms"`
+	P50  float64 `json:"p50_ms"`
+	P90  float64 `json:"p90_ms"`
+	P99  float64 `json:"p99_ms"`
+	P999 float64 `json:"p999_ms"`
+	Max  float64 `json:"max_ms"`
+}
+
+// Point is one interval of a time series, by the time at which requests ended.
+type Point struct {
+	// At is the start of the interval in seconds since the start of the run.
+	At       float64 `json:"at_seconds"`
+	Answered uint64  `json:"answered"`
+	NotRun   uint64  `json:"not_run"`
+	Unknown  uint64  `json:"unknown"`
+	// P99 is the 99th percentile of the latency of the answered requests; zero without any.
+	P99 float64 `json:"p99_ms"`
+}
+
+func (c *Counts) add(other Counts) {
+	c.Sent += other.Sent
+	c.Answered += other.Answered
+	c.NotRun += other.NotRun
+	c.Unknown += other.Unknown
+	c.Overflow += other.Overflow
+	c.WithinTarget += other.WithinTarget
+	c.Crossed += other.Crossed
+	c.Truncated += other.Truncated
+	c.Aborted += other.Aborted
+	c.Unmarked += other.Unmarked
+	c.Resent += other.Resent
+	c.AnsweredLater += other.AnsweredLater
+	addAll(c.Statuses, other.Statuses)
+	addAll(c.Reasons, other.Reasons)
+	addAll(c.Errors, other.Errors)
+}
+
+func addAll[K comparable](sums, values map[K]uint64) {
+	for key, value := range values {
+		sums[key] += value
+	}
+}
+
+func newCounts() Counts {
+	return Counts{Statuses: map[int]uint64{}, Reasons: map[string]uint64{}, Errors: map[string]uint64{}}
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	const highest, figures = int64(2 * time.Minute / time.Microsecond), 3
+	return hdrhistogram.New(1, highest, figures)
+}
+
+func latency(h *hdrhistogram.Histogram) Latency {
+	quantile := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+	return Latency{
+		Mean: h.Mean() / 1000, P50: quantile(50), P90: quantile(90), P99: quantile(99), P999: quantile(99.9),
+		Max: float64(h.Max()) / 1000,
+	}
+}
