--- /dev/null
+++ b/daemon/admin.go
@@ -0,0 +1,167 @@
+package daemon
+
+import (
+	"encoding/json"
+	"net/http"
+	"runtime"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"hibiscusline/applier"
+	"hibiscusline/encoder"
+	"hibiscusline/leaser"
+	"hibiscusline/reporter"
+	"hibiscusline/timer"
+)
+
+func (d *Daemon) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		d.metrics.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, d.status()) })
+	mux.HandleFunc("GET /dump", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, d.dump()) })
+	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { d.answerHealth(w) })
+	mux.HandleFunc("POST /drain", func(w http.ResponseWriter, _ *http.Request) { d.answerDrain(w) })
+	mux.HandleFunc("POST /move", d.answerMove)
+	return mux
+}
+
+func (d *Daemon) answerHealth(w http.ResponseWriter) {
+	switch {
+	case d.draining.Load():
+		writeRefusal(w, http.StatusServiceUnavailable, "draining")
+	case !d.state.Ready():
+		writeRefusal(w, http.StatusServiceUnavailable, "the state was not read yet, from the log or from a peer")
+	default:
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
+
+func (d *Daemon) answerDrain(w http.ResponseWriter) {
+	n := d.incarnation()
+	if n == nil {
+		writeRefusal(w, http.StatusConflict, "this process is not a member")
+		return
+	}
+	d.resign(n, "an operator asked for it")
+	w.WriteHeader(http.StatusAccepted)
+}
+
+func (d *Daemon) answerMove(w http.ResponseWriter, r *http.Request) {
+	var m reporter.Move
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncement))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&m); err != nil {
+		writeRefusal(w, http.StatusBadRequest, "move: "+err.Error())
+		return
+	}
+	n := d.incarnation()
+	var a applier.Assignment
+	var found bool
+	d.state.View(func(s *applier.State) { a, found = s.Lookup(m.Service, m.Position) })
+	if n == nil || !found || a.Owner != n.id {
+		writeRefusal(w, http.StatusConflict, "this process does not own the position")
+		return
+	}
+	d.changing.Lock()
+	defer d.changing.Unlock()
+	if err := d.move(r.Context(), n, m.To, []applier.RangeEpoch{{Range: a.Range, Epoch: a.Epoch}}); err != nil {
+		writeRefusal(w, http.StatusConflict, err.Error())
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (d *Daemon) status() reporter.Status {
+	s := reporter.Status{Name: d.config.Settings.Name, Zone: d.config.Settings.Zone, Draining: d.draining.Load()}
+	n := d.incarnation()
+	if n != nil {
+		s.Member, s.Service = n.id, n.server.Service
+		s.Draining = s.Draining || n.leaving.Load()
+		until, now := n.ValidUntil(), timer.Now()
+		s.Lease.Held = until > now
+		s.Lease.Exempt = until == leaser.Forever
+		if s.Lease.Held && !s.Lease.Exempt {
+			s.Lease.RemainingMs = (until - now).Milliseconds()
+		}
+		s.Owned = d.ownedRanges(n)
+	}
+	d.state.View(func(state *applier.State) { s.Version, s.Applied = state.Version, state.Applied })
+	return s
+}
+
+// Dump is the whole state of a process, for people.
+type Dump struct {
+	Status     reporter.Status                   `json:"status"`
+	Uptime     string                            `json:"uptime"`
+	Ready      bool                              `json:"ready"`
+	Load       *encoder.Load                     `json:"load,omitempty"`
+	Admission  any                               `json:"admission,omitempty"`
+	InFlight   int                               `json:"in_flight"`
+	Loads      map[applier.MemberID]encoder.Load `json:"loads"`
+	Goroutines int                               `json:"goroutines"`
+	Heap       uint64                            `json:"heap_bytes"`
+	Peers      int                               `json:"connections"`
+	State      json.RawMessage                   `json:"state"`
+}
+
+func (d *Daemon) dump() Dump {
+	dump := Dump{
+		Status: d.status(), Uptime: time.Since(d.started).String(), Ready: d.state.Ready(), Loads: d.knownLoads(),
+		Goroutines: runtime.NumGoroutine(), Peers: d.transport.Connections(),
+	}
+	if n := d.incarnation(); n != nil {
+		load := n.dispatcher.Load()
+		dump.Load, dump.InFlight, dump.Admission = &load, n.dispatcher.InFlight(), n.dispatcher.Admission()
+	}
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	dump.Heap = memory.HeapAlloc
+	d.state.View(func(s *applier.State) {
+		data, err := json.Marshal(s)
+		if err != nil {
+			data, _ = json.Marshal(err.Error())
+		}
+		dump.State = data
+	})
+	return dump
+}
+
+// learnLoad keeps what another member said about its backend server.
+func (d *Daemon) learnLoad(id applier.MemberID, load encoder.Load) {
+	d.loadsMu.Lock()
+	defer d.loadsMu.Unlock()
+	d.loads[id] = memberLoad{load: load, at: time.Now()}
+}
+
+// loadLifetime is how long a report of another member's load counts.
+const loadLifetime = 5 * time.Second
+
+func (d *Daemon) knownLoads() map[applier.MemberID]encoder.Load {
+	d.loadsMu.Lock()
+	defer d.loadsMu.Unlock()
+	known := map[applier.MemberID]encoder.Load{}
+	for id, l := range d.loads {
+		if time.Since(l.at) > loadLifetime {
+			delete(d.loads, id)
+			continue
+		}
+		known[id] = l.load
+	}
+	return known
+}
+
+func (d *Daemon) registerGauges() {
+	d.metrics.NewGauge("hibiscus_applied_offset", func() float64 { return float64(d.state.Applied()) })
+	d.metrics.NewGauge("hibiscus_connections", func() float64 { return float64(d.transport.Connections()) })
+	d.metrics.NewGauge("hibiscus_lease_seconds", func() float64 {
+		n := d.incarnation()
+		if n == nil || n.ValidUntil() == leaser.Forever {
+			return 0
+		}
+		return max(0, (n.ValidUntil() - timer.Now()).Seconds())
+	})
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -17,10 +17,8 @@
 	"hibiscusline/appender"
 	"hibiscusline/applier"
 	"hibiscusline/deduper"
-	"hibiscusline/dispatcher"
 	"hibiscusline/encoder"
 	"hibiscusline/follower"
-	"hibiscusline/leaser"
 	"hibiscusline/loader"
 	"hibiscusline/router"
 	"hibiscusline/transporter"
@@ -54,6 +52,9 @@
 	mu sync.Mutex
 	// current is the incarnation that is a member, or nil without a backend server.
 	current *incarnation
+	server  server
+	// resigning means that the last incarnation is still handing its ranges over.
+	resigning bool
 	// transfers and other long changes of ownership happen one at a time.
 	changing sync.Mutex
 	draining atomic.Bool
@@ -251,8 +252,3 @@
 	}
 	return ranks
 }
-
-var (
-	_ dispatcher.Lease = (*incarnation)(nil)
-	_ leaser.Event     = leaser.Tick{}
-)
--- a/daemon/log.go
+++ b/daemon/log.go
@@ -261,4 +261,3 @@
 		d.metrics.GetOrCreateCounter("hibiscus_checkpoints_total").Inc()
 	})
 }
-
--- a/daemon/streams.go
+++ b/daemon/streams.go
@@ -290,4 +290,3 @@
 
 // Write passes a part of the body on.
 func (s *pipeSink) Write(p []byte) (int, error) { return s.writer.Write(p) }
-
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -97,7 +97,9 @@
 }
 
 // SetRanks replaces the ranks of the admission.
-func (d *Dispatcher) SetRanks(ranks []admitter.Rank) { d.gate.apply(admitter.Reconfigure{Ranks: ranks}) }
+func (d *Dispatcher) SetRanks(ranks []admitter.Rank) {
+	d.gate.apply(admitter.Reconfigure{Ranks: ranks})
+}
 
 // Tick lets time pass for waiting requests. It is due every few milliseconds.
 func (d *Dispatcher) Tick() { d.gate.tick() }
--- a/dispatcher/gate.go
+++ b/dispatcher/gate.go
@@ -135,3 +135,10 @@
 		LowestAdmitted: g.admitter.LowestAdmitted(), Rate: g.rate,
 	}
 }
+
+// Admission returns the state of the admission for the state dump.
+func (d *Dispatcher) Admission() any {
+	d.gate.mu.Lock()
+	defer d.gate.mu.Unlock()
+	return d.gate.admitter.Snapshot()
+}
--- a/dispatcher/ownership.go
+++ b/dispatcher/ownership.go
@@ -162,3 +162,16 @@
 		}
 	}
 }
+
+// Idle waits until no keyed request is in flight and no request holds a slot.
+func (d *Dispatcher) Idle(ctx context.Context) error {
+	const interval = 10 * time.Millisecond
+	for d.InFlight() > 0 || d.gate.load().Running > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(interval):
+		}
+	}
+	return nil
+}
--- a/encoder/message.go
+++ b/encoder/message.go
@@ -27,34 +27,34 @@
 
 // Reasons of a request without an answer.
 const (
-	NoReason          Reason = iota // none
-	BadRequest                      // bad_request
-	UnknownService                  // unknown_service
-	MissingKey                      // missing_key
-	NotReady                        // not_ready
-	NotOwner                        // not_owner
-	NoLease                         // no_lease
-	Moving                          // moving
-	NoOwner                         // no_owner
-	Overloaded                      // overloaded
-	DeadlineExceeded                // deadline_exceeded
-	Cancelled                       // cancelled
-	Poison                          // poison
-	BackendFailed                   // backend_failed
-	BackendLost                     // backend_lost
-	ServerCrashed                   // server_crashed
-	PeerUnreachable                 // peer_unreachable
-	Stopping                        // stopping
-	KeyReused                       // idempotency_key_reused
-	OutcomeUnknown                  // outcome_unknown
-	RowsMissing                     // idempotency_rows_missing
-	GuardiansSilent                 // guardians_unreachable
+	NoReason         Reason = iota // none
+	BadRequest                     // bad_request
+	UnknownService                 // unknown_service
+	MissingKey                     // missing_key
+	NotReady                       // not_ready
+	NotOwner                       // not_owner
+	NoLease                        // no_lease
+	Moving                         // moving
+	NoOwner                        // no_owner
+	Overloaded                     // overloaded
+	DeadlineExceeded               // deadline_exceeded
+	Cancelled                      // cancelled
+	Poison                         // poison
+	BackendFailed                  // backend_failed
+	BackendLost                    // backend_lost
+	ServerCrashed                  // server_crashed
+	PeerUnreachable                // peer_unreachable
+	Stopping                       // stopping
+	KeyReused                      // idempotency_key_reused
+	OutcomeUnknown                 // outcome_unknown
+	RowsMissing                    // idempotency_rows_missing
+	GuardiansSilent                // guardians_unreachable
 	// RowsPending means that a new owner is still fetching the idempotency rows of a range.
-	RowsPending // idempotency_rows_pending
-	BodyTooLarge                    // body_too_large
-	FencedOff                       // fenced_off
-	RetriesExhausted                // retries_exhausted
-	IntegrityFailed                 // integrity_failed
+	RowsPending      // idempotency_rows_pending
+	BodyTooLarge     // body_too_large
+	FencedOff        // fenced_off
+	RetriesExhausted // retries_exhausted
+	IntegrityFailed  // integrity_failed
 )
 
 // Transient reports whether a request that was not run for this reason may run soon at the same or another process.
--- a/router/forward.go
+++ b/router/forward.go
@@ -184,4 +184,3 @@
 		}
 	}
 }
-
