daemon, launcher: the whole path runs with separate processes

Cause: the parts had never run together. Ruled out: a race of two announcements made one process join twice; joining is now decided under the lock.

--- a/daemon/local.go
+++ b/daemon/local.go
@@ -111,12 +111,7 @@
 			d.resign(current, "backend server is draining")
 		}
 	case current == nil:
-		d.mu.Lock()
-		resigning, healthy := d.resigning, d.server.failedProbes == 0
-		d.mu.Unlock()
-		if !resigning && healthy {
-			d.join(a)
-		}
+		d.join(a)
 	case current.server.Service != a.Service || current.server.Address != a.Address || current.server.Fenced != a.Fenced:
 		d.resign(current, "backend server changed")
 	default:
--- a/daemon/member.go
+++ b/daemon/member.go
@@ -67,13 +67,25 @@
 		Fetched: func(epoch applier.Offset) bool { _, done := n.fetched.Load(epoch); return done },
 	})
 	n.dispatcher.SetBackend(a.Address, a.Slots)
-	d.mu.Lock()
-	d.current = n
-	d.mu.Unlock()
+	if !d.enter(n) {
+		return
+	}
 	d.log("state", "joining", "member", n.id, "service", a.Service, "backend", a.Address)
 	d.tasks.Go(func() { d.commitJoin(n) })
 }
 
+// enter makes an incarnation the current one. It reports false while there is another one, while that one's ranges are
+// still being handed over, and while the backend server doesn't answer.
+func (d *Daemon) enter(n *incarnation) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.current != nil || d.resigning || d.server.failedProbes > 0 {
+		return false
+	}
+	d.current = n
+	return true
+}
+
 // nestedShare is the share of slots that only nested calls may use.
 const nestedShare = 0.1
 
--- a/dispatcher/backend.go
+++ b/dispatcher/backend.go
@@ -83,8 +83,9 @@
 		request.Header.Set(HeaderEpoch, strconv.FormatUint(uint64(a.Epoch), 10))
 	}
 	if deadline, bounded := ctx.Deadline(); bounded {
-		remaining := max(time.Until(deadline).Milliseconds(), 1)
-		request.Header.Set(HeaderDeadline, strconv.FormatInt(remaining, 10))
+		// The deadline is absolute, so that a backend server that was frozen doesn't run a late request. Both processes
+		// are on one instance and share its clock.
+		request.Header.Set(HeaderDeadline, strconv.FormatInt(deadline.UnixMilli(), 10))
 	}
 	response, err := b.client.Do(request)
 	return exchange{response: response, err: err, connected: connected.Load()}
--- a/emulator/execute.go
+++ b/emulator/execute.go
@@ -138,6 +138,7 @@
 
 func (s *Server) refuseStale(w http.ResponseWriter, r *http.Request) {
 	s.count(func(c *ServerCounts) { c.Stale++ })
+	w.Header().Set("Hibiscus-Fenced", "true")
 	s.refuse(w, r, http.StatusConflict, StaleEpoch, "the range was seen with a newer epoch")
 }
 
--- /dev/null
+++ b/launcher/node.go
@@ -0,0 +1,325 @@
+package launcher
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/pkg/errors"
+
+	"hibiscusline/daemon"
+	"hibiscusline/emulator"
+	"hibiscusline/loader"
+	"hibiscusline/reporter"
+)
+
+// Node is a backend server with the hibiscusd beside it.
+type Node struct {
+	Name     string
+	Service  string
+	Settings loader.DaemonSettings
+	Server   *emulator.Server
+
+	fleet      *Fleet
+	stopServer context.CancelFunc
+	serverDone chan struct{}
+
+	mu      sync.Mutex
+	process *process
+}
+
+// process is one run of a hibiscusd.
+type process struct {
+	command *exec.Cmd
+	cancel  context.CancelFunc
+	done    chan struct{}
+	err     error
+	frozen  bool
+	// ended means that the end of the process was asked for.
+	ended bool
+}
+
+// Add starts another backend server with its hibiscusd. It doesn't wait until they are ready.
+func (f *Fleet) Add(service Service, zone string) (*Node, error) {
+	name := fmt.Sprintf("%s-%d", service.Name, len(f.Nodes))
+	files, err := f.authority.Issue(f.config.Directory, name, certificateValidity)
+	if err != nil {
+		return nil, err
+	}
+	s := loader.DefaultDaemon()
+	s.Name, s.Zone = name, zone
+	s.TLS = loader.TLSSettings{CA: files.Authority, Certificate: files.Certificate, Key: files.Key}
+	s.Log.Address, s.Log.Stream = f.address, stream
+	for _, address := range []*netip.AddrPort{&s.Listen, &s.QUIC, &s.Local, &s.Admin} {
+		if *address, err = freeAddress(); err != nil {
+			return nil, err
+		}
+	}
+	s.Peers = []netip.AddrPort{}
+	for _, other := range f.Nodes[:min(len(f.Nodes), 3)] {
+		s.Peers = append(s.Peers, other.Settings.QUIC)
+	}
+	if f.config.Edit != nil {
+		f.config.Edit(&s)
+	}
+	n := &Node{Name: name, Service: service.Name, Settings: s, fleet: f}
+	if err := n.startServer(service); err != nil {
+		return nil, err
+	}
+	f.Nodes = append(f.Nodes, n)
+	return n, n.Start()
+}
+
+// freeAddress returns a loopback address whose port is free for TCP and UDP.
+func freeAddress() (netip.AddrPort, error) {
+	const attempts = 20
+	var last error
+	for range attempts {
+		tcp, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return netip.AddrPort{}, err
+		}
+		address := tcp.Addr().(*net.TCPAddr).AddrPort()
+		udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
+		if err == nil {
+			err = udp.Close()
+		}
+		if closeErr := tcp.Close(); err == nil {
+			err = closeErr
+		}
+		if err == nil {
+			return address, nil
+		}
+		last = err
+	}
+	return netip.AddrPort{}, errors.Wrap(last, "find a free port")
+}
+
+func (n *Node) startServer(service Service) error {
+	f := n.fleet
+	fence := f.fences[service.Name]
+	if fence == nil {
+		fence = &emulator.Fence{}
+		f.fences[service.Name] = fence
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	n.Server = emulator.NewServer(emulator.ServerConfig{
+		Service: service.Name, Name: n.Name, Slots: service.Slots, Connections: service.Connections,
+		Fenced: !service.Unfenced, Fence: fence, Ledger: f.Ledger, Router: n.Settings.Local,
+		Seed: f.config.Seed + uint64(len(f.Nodes)), Settings: service.Settings,
+	})
+	ctx, cancel := context.WithCancel(f.context)
+	n.stopServer, n.serverDone = cancel, make(chan struct{})
+	f.tasks.Go(func() {
+		defer close(n.serverDone)
+		// A server that can't run shows as a process that is not ready.
+		_ = n.Server.Run(ctx, listener)
+	})
+	return nil
+}
+
+// StopServer ends the backend server for good.
+func (n *Node) StopServer() {
+	n.stopServer()
+	<-n.serverDone
+}
+
+// Start starts the hibiscusd, after its end too.
+func (n *Node) Start() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.fleet.config.Command == nil {
+		n.process = n.startInside()
+		return nil
+	}
+	path, err := n.fleet.writeSettings(n.Settings)
+	if err != nil {
+		return err
+	}
+	output, err := os.OpenFile(filepath.Join(n.fleet.config.Directory, n.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	command := n.fleet.config.Command(path)
+	command.Stdout, command.Stderr = output, output
+	// A process must not outlive the program that started it.
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := command.Start(); err != nil {
+		return errors.Wrap(err, "start hibiscusd")
+	}
+	p := &process{command: command, done: make(chan struct{})}
+	go func() {
+		defer close(p.done)
+		p.err = command.Wait()
+		if err := output.Close(); err != nil && p.err == nil {
+			p.err = err
+		}
+	}()
+	n.process = p
+	return nil
+}
+
+func (n *Node) startInside() *process {
+	logger := n.fleet.config.Logger
+	if logger == nil {
+		logger = log.NewNopLogger()
+	}
+	ctx, cancel := context.WithCancel(n.fleet.context)
+	p := &process{cancel: cancel, done: make(chan struct{})}
+	d := daemon.New(daemon.Config{Settings: n.Settings, Logger: logger})
+	go func() {
+		defer close(p.done)
+		p.err = d.Run(ctx)
+	}()
+	return p
+}
+
+func (n *Node) current() *process {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.process
+}
+
+func (n *Node) expectEnd(p *process) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	p.ended = true
+}
+
+// failed returns an error if the hibiscusd ended although nobody asked for it.
+func (n *Node) failed() error {
+	p := n.current()
+	select {
+	case <-p.done:
+	default:
+		return nil
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if p.ended {
+		return nil
+	}
+	return errors.Errorf("process %s ended: %v", n.Name, p.err)
+}
+
+// Running reports whether the hibiscusd runs and is not frozen.
+func (n *Node) Running() bool {
+	p := n.current()
+	if p == nil || p.frozen {
+		return false
+	}
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// Stop stops the hibiscusd gracefully and waits for its end.
+func (n *Node) Stop(ctx context.Context) error {
+	p := n.current()
+	n.expectEnd(p)
+	if p.cancel != nil {
+		p.cancel()
+	} else if err := p.command.Process.Signal(syscall.SIGTERM); err != nil {
+		return errors.Wrap(err, "stop hibiscusd")
+	}
+	select {
+	case <-p.done:
+		return p.err
+	case <-ctx.Done():
+		return errors.Wrapf(ctx.Err(), "process %s did not stop", n.Name)
+	}
+}
+
+// Kill ends the hibiscusd at once. Inside this process, where that is not possible, it stops it gracefully.
+func (n *Node) Kill() error {
+	p := n.current()
+	if p == nil {
+		return nil
+	}
+	n.expectEnd(p)
+	if p.cancel != nil {
+		p.cancel()
+		<-p.done
+		return nil
+	}
+	select {
+	case <-p.done:
+		return nil
+	default:
+	}
+	if err := p.command.Process.Kill(); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		return errors.Wrap(err, "kill hibiscusd")
+	}
+	<-p.done
+	return nil
+}
+
+// Freeze stops the hibiscusd from running until Thaw.
+func (n *Node) Freeze() error { return n.signal(syscall.SIGSTOP, true) }
+
+// Thaw lets a frozen hibiscusd run on.
+func (n *Node) Thaw() error { return n.signal(syscall.SIGCONT, false) }
+
+func (n *Node) signal(s syscall.Signal, frozen bool) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.process.command == nil {
+		return errors.New("a hibiscusd inside this process can't be frozen")
+	}
+	n.process.frozen = frozen
+	return errors.Wrap(n.process.command.Process.Signal(s), "signal hibiscusd")
+}
+
+// PID returns the process id of the hibiscusd, or zero when it runs inside this process.
+func (n *Node) PID() int {
+	if p := n.current(); p != nil && p.command != nil {
+		return p.command.Process.Pid
+	}
+	return 0
+}
+
+// Status asks the hibiscusd for its status.
+func (n *Node) Status(ctx context.Context) (reporter.Status, error) {
+	var s reporter.Status
+	return s, n.get(ctx, "/status", &s)
+}
+
+func (n *Node) get(ctx context.Context, path string, into any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.Settings.Admin.String()+path, nil)
+	if err != nil {
+		return err
+	}
+	client := &http.Client{Timeout: 2 * time.Second}
+	response, err := client.Do(request)
+	if err != nil {
+		return err
+	}
+	data, err := io.ReadAll(response.Body)
+	if closeErr := response.Body.Close(); err == nil {
+		err = closeErr
+	}
+	if err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusOK {
+		return errors.Errorf("%s answered %s: %s", path, response.Status, data)
+	}
+	return errors.Wrap(json.Unmarshal(data, into), path)
+}
