--- a/leaser/choice.go
+++ b/leaser/choice.go
@@ -71,7 +71,18 @@
 	return kept
 }
 
-func (m *Machine) silent(id applier.MemberID) bool { return m.now > m.answered[id]+2*m.config.Term }
+// silent reports whether a guardian has not answered for two terms. When all guardians are silent, half a term is enough:
+// a lapsed member renews nobody, so in a small cluster the loss of few members could lapse all others in turn.
+func (m *Machine) silent(id applier.MemberID) bool {
+	limit := m.config.Term / 2
+	for _, g := range m.guardians {
+		if m.now <= m.answered[g]+limit {
+			limit = 2 * m.config.Term
+			break
+		}
+	}
+	return m.now > m.answered[id]+limit
+}
 
 // fallBack fills a set with present guardians that are not the best ones, since a doubtful guardian beats none.
 func (m *Machine) fallBack(set []applier.MemberID) []applier.MemberID {
