--- a/generator/config.go
+++ b/generator/config.go
@@ -41,9 +41,12 @@
 	defaultTimeout     = 2 * time.Second
 	defaultBodySize    = 64
 	defaultMaxInFlight = 20_000
-	defaultMaxIDs      = 1 << 20
-	maxKeys            = 1 << 22
-	maxDuration        = time.Hour
+	// defaultMaxConnections keeps four entries within 4,096 file descriptors. Without a limit the transport dials for
+	// each request that finds no idle connection, and a burst at the start used up 20,000 descriptors.
+	defaultMaxConnections = 1024
+	defaultMaxIDs         = 1 << 20
+	maxKeys               = 1 << 22
+	maxDuration           = time.Hour
 )
 
 // Config configures a run.
@@ -57,6 +60,9 @@
 	Streams  []Stream `json:"streams"`
 	// MaxInFlight bounds the requests in flight (20,000 if zero). Requests beyond it are counted as overflow.
 	MaxInFlight int `json:"max_in_flight"`
+	// MaxConnections bounds the connections to one entry (1,024 if zero). Requests beyond it wait for a connection, and
+	// the wait counts as latency.
+	MaxConnections int `json:"max_connections"`
 	// Resends is how often a non-repeatable request that was not answered is sent again with its Idempotency-Key, each
 	// time to another entry after ResendDelay.
 	Resends     int                `json:"resends"`
@@ -120,6 +126,9 @@
 	if c.MaxInFlight == 0 {
 		c.MaxInFlight = defaultMaxInFlight
 	}
+	if c.MaxConnections == 0 {
+		c.MaxConnections = defaultMaxConnections
+	}
 	if c.MaxIDs == 0 {
 		c.MaxIDs = defaultMaxIDs
 	}
@@ -136,8 +145,8 @@
 		return errors.Errorf("duration is %s; allowed: up to %s", c.Duration.Value(), maxDuration)
 	case len(c.Streams) == 0:
 		return errors.New("streams is empty; allowed: at least one stream")
-	case c.MaxInFlight < 0, c.Resends < 0, c.ResendDelay < 0, c.MaxIDs < 0:
-		return errors.New("max_in_flight, resends, resend_delay and max_ids must not be negative")
+	case c.MaxInFlight < 0, c.MaxConnections < 0, c.Resends < 0, c.ResendDelay < 0, c.MaxIDs < 0:
+		return errors.New("max_in_flight, max_connections, resends, resend_delay and max_ids must not be negative")
 	}
 	for _, e := range c.Entries {
 		if !e.IsValid() {
--- a/generator/exchange.go
+++ b/generator/exchange.go
@@ -154,6 +154,8 @@
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return "refused"
+	case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.EADDRNOTAVAIL):
+		return "local_limit"
 	case errors.Is(err, context.DeadlineExceeded), errors.As(err, &timeout) && timeout.Timeout():
 		return "timeout"
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, syscall.ECONNRESET),
--- a/generator/report.go
+++ b/generator/report.go
@@ -64,7 +64,8 @@
 	Resent        uint64 `json:"resent"`
 	AnsweredLater uint64 `json:"answered_later"`
 	// Statuses counts the HTTP statuses of answered attempts, Reasons the values of Hibiscus-Reason, and Errors the
-	// classes of transport errors: refused, timeout, cut, other.
+	// classes of transport errors: refused, timeout, cut, other, and
+	// local_limit when this machine had no descriptor or port left.
 	Statuses map[int]uint64    `json:"statuses"`
 	Reasons  map[string]uint64 `json:"reasons"`
 	Errors   map[string]uint64 `json:"errors"`
--- a/generator/run.go
+++ b/generator/run.go
@@ -16,8 +16,6 @@
 	"github.com/pkg/errors"
 )
 
-const maxIdlePerEntry = 4096
-
 // Run sends the configured load and returns when every request has ended. When the context ends it sends no more, waits
 // for the requests in flight and reports what was done. An error means that the configuration is not valid.
 func Run(ctx context.Context, c Config) (Report, error) {
@@ -27,8 +25,8 @@
 	}
 	dialer := &net.Dialer{Timeout: defaultTimeout}
 	transport := &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdlePerEntry, DisableCompression: true,
-		IdleConnTimeout: time.Minute,
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: c.MaxConnections,
+		MaxConnsPerHost: c.MaxConnections, DisableCompression: true, IdleConnTimeout: time.Minute,
 	}
 	defer transport.CloseIdleConnections()
 	r := &runner{
