quarantiner: fingerprints of requests that crash backend servers

Cause: a request that crashes its server and is sent again must cost at most two servers, and its neighbours none of their service. Ruled out: counting crashes alone, since a neighbour of two different poison requests reaches two crashes (a refusal needs a crash while the request ran alone); sums or maxima of local, told and logged counts, which count one crash twice or two crashes once (crashes have ids instead). Change: Quarantiner with fingerprints, tickets, marks, merge with the state, bounds and expiry. The state's suspects list the last four crashes with id and whether the request was alone; applier.Suspect has the crash id, and a crash that is reported twice counts once. A unit test fails when one crash counts twice, here or in the state.

--- a/applier/apply.go
+++ b/applier/apply.go
@@ -286,18 +286,32 @@
 }
 
 func (s *State) applySuspect(offset Offset, r Suspect) {
+	mark := CrashMark{Crash: r.Crash, Alone: len(r.Fingerprints) == 1}
+	if mark.Crash == 0 {
+		mark.Crash = uint64(offset)
+	}
 	for _, f := range r.Fingerprints {
 		i := slices.IndexFunc(s.Suspects, func(c SuspectCount) bool { return c.Fingerprint == f })
 		if i < 0 {
-			s.Suspects = appendBounded(s.Suspects, SuspectCount{Fingerprint: f, Crashes: 1, Offset: offset}, maxSuspects)
+			s.Suspects = appendBounded(s.Suspects, SuspectCount{
+				Fingerprint: f, Crashes: 1, Offset: offset, Recent: []CrashMark{mark},
+			}, maxSuspects)
 			continue
 		}
-		s.Suspects[i].Crashes++
-		s.Suspects[i].Offset = offset
+		s.Suspects[i].addCrash(offset, mark)
 	}
 	s.Suspects = slices.DeleteFunc(s.Suspects, func(c SuspectCount) bool { return slices.Contains(r.Cleared, c.Fingerprint) })
 }
 
+func (c *SuspectCount) addCrash(offset Offset, mark CrashMark) {
+	if slices.ContainsFunc(c.Recent, func(m CrashMark) bool { return m.Crash == mark.Crash }) {
+		return
+	}
+	c.Crashes++
+	c.Offset = offset
+	c.Recent = appendBounded(c.Recent, mark, maxCrashMarks)
+}
+
 func (s *State) applyCheckpoint(r Checkpoint) {
 	switch {
 	case r.Index == 0:
--- a/applier/record.go
+++ b/applier/record.go
@@ -118,6 +118,8 @@
 	Fingerprints []uint64 `cbor:"2,keyasint"`
 	// Cleared lists suspects that have since completed without a crash.
 	Cleared []uint64 `cbor:"3,keyasint,omitempty"`
+	// Crash identifies the crash, so that one that is reported on several ways counts once. Zero stands for the offset.
+	Crash uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Settle declares that a member holds all idempotency rows of its ranges whose epoch is at most AsOf.
--- a/applier/state.go
+++ b/applier/state.go
@@ -15,6 +15,8 @@
 	maxSuspects  = 256
 	maxRemovals  = 1024
 	maxLineage   = 4
+	// maxCrashMarks exceeds the two crashes after which a request is refused.
+	maxCrashMarks = 4
 )
 
 // Assignment is a range of a service with its owner.
@@ -76,6 +78,15 @@
 	Fingerprint uint64 `cbor:"1,keyasint" json:"fingerprint"`
 	Crashes     int    `cbor:"2,keyasint" json:"crashes"`
 	Offset      Offset `cbor:"3,keyasint" json:"offset"`
+	// Recent lists the last crashes, at most maxCrashMarks.
+	Recent []CrashMark `cbor:"4,keyasint,omitempty" json:"recent,omitempty"`
+}
+
+// CrashMark is one crash in which a request was in flight.
+type CrashMark struct {
+	Crash uint64 `cbor:"1,keyasint" json:"crash"`
+	// Alone means that no request with another fingerprint was in flight.
+	Alone bool `cbor:"2,keyasint,omitempty" json:"alone,omitempty"`
 }
 
 // State is the result of applying all records up to Applied. The zero value is the state of an empty log.
--- /dev/null
+++ b/quarantiner/fingerprint.go
@@ -0,0 +1,37 @@
+package quarantiner
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Request is what a fingerprint is made from.
+type Request struct {
+	Service, Method, Path string
+	// Key is the request key of a keyed service.
+	Key            string
+	IdempotencyKey string
+	// BodyHash is a hash of the whole body, or zero if it isn't known.
+	BodyHash uint64
+}
+
+// Fingerprint returns a number that a request keeps when it is sent again. The body hash takes precedence over the
+// idempotency key, since callers may send the same body with a new key.
+func Fingerprint(r Request) uint64 {
+	digest := xxhash.New()
+	var number [8]byte
+	add := func(value uint64) {
+		binary.LittleEndian.PutUint64(number[:], value)
+		_, _ = digest.Write(number[:])
+	}
+	for _, part := range []string{r.Service, r.Method, r.Path, r.Key} {
+		add(uint64(len(part)))
+		_, _ = digest.WriteString(part)
+	}
+	add(r.BodyHash)
+	if r.BodyHash == 0 {
+		_, _ = digest.WriteString(r.IdempotencyKey)
+	}
+	return digest.Sum64()
+}
--- /dev/null
+++ b/quarantiner/quarantiner.go
@@ -0,0 +1,213 @@
+package quarantiner
+
+import (
+	"cmp"
+	"encoding/binary"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"hibiscusline/applier"
+)
+
+// Config configures a Quarantiner. Zero fields take the defaults.
+type Config struct {
+	// Member is the member id of this process. It makes the ids of crashes unique.
+	Member applier.MemberID
+	// Suspects is the largest number of fingerprints remembered (4,096). It must exceed the number in the log (256).
+	Suspects int
+	// Expiry is the time without a crash after which a suspicion ends (10 minutes).
+	Expiry time.Duration
+}
+
+// Ticket stands for one request in flight.
+type Ticket struct {
+	fingerprint uint64
+	generation  uint64
+}
+
+// Quarantiner tracks the requests in flight on one backend server and the suspects of all servers.
+type Quarantiner struct {
+	config     Config
+	generation uint64
+	inFlight   map[uint64]int
+	suspects   map[uint64]*suspect
+	cleared    []uint64
+}
+
+// New returns a Quarantiner without suspects.
+func New(config Config) *Quarantiner {
+	config.Suspects = cmp.Or(config.Suspects, 4096)
+	config.Expiry = cmp.Or(config.Expiry, 10*time.Minute)
+	return &Quarantiner{config: config, inFlight: map[uint64]int{}, suspects: map[uint64]*suspect{}}
+}
+
+// Check says how a request may run.
+func (q *Quarantiner) Check(fingerprint uint64) Verdict {
+	if s := q.suspects[fingerprint]; s != nil {
+		return s.verdict()
+	}
+	return Run
+}
+
+// MayStart reports whether a request may start beside those in flight: a suspect needs an idle server, and no other
+// request starts while a suspect is running.
+func (q *Quarantiner) MayStart(fingerprint uint64) bool {
+	if len(q.inFlight) == 0 {
+		return q.Check(fingerprint) != Refuse
+	}
+	if q.Check(fingerprint) != Run {
+		return false
+	}
+	for running := range q.inFlight {
+		if q.Check(running) != Run {
+			return false
+		}
+	}
+	return true
+}
+
+// Start records that a request was sent to the backend server. Its ticket must end in Finish or Cancel.
+func (q *Quarantiner) Start(fingerprint uint64) Ticket {
+	q.inFlight[fingerprint]++
+	return Ticket{fingerprint: fingerprint, generation: q.generation}
+}
+
+// Finish records that the backend server completed a request, which clears it. A ticket from before a crash is ignored,
+// since a request may crash its server while the response is on its way.
+func (q *Quarantiner) Finish(now time.Duration, t Ticket) {
+	if !q.end(t) {
+		return
+	}
+	s := q.suspects[t.fingerprint]
+	if s == nil || len(s.marks) == 0 {
+		return
+	}
+	s.clear(func(applier.CrashMark) bool { return true })
+	s.changed = now
+	q.cleared = append(q.cleared, t.fingerprint)
+	q.cleared = q.cleared[max(0, len(q.cleared)-maxCleared):]
+}
+
+// Cancel records that a request ended without having run to completion; a suspect stays one. It must be called only when
+// the backend server no longer works on the request.
+func (q *Quarantiner) Cancel(t Ticket) { q.end(t) }
+
+func (q *Quarantiner) end(t Ticket) bool {
+	if t.generation != q.generation || q.inFlight[t.fingerprint] == 0 {
+		return false
+	}
+	q.inFlight[t.fingerprint]--
+	if q.inFlight[t.fingerprint] == 0 {
+		delete(q.inFlight, t.fingerprint)
+	}
+	return true
+}
+
+// Crash records that the backend server crashed. It returns the record for the log, and false if nothing was in flight.
+func (q *Quarantiner) Crash(now time.Duration) (applier.Suspect, bool) {
+	q.generation++
+	if len(q.inFlight) == 0 {
+		return applier.Suspect{}, false
+	}
+	record := applier.Suspect{
+		Member: q.config.Member, Fingerprints: slices.Sorted(maps.Keys(q.inFlight)), Crash: q.crashID(),
+	}
+	clear(q.inFlight)
+	mark := applier.CrashMark{Crash: record.Crash, Alone: len(record.Fingerprints) == 1}
+	for _, fingerprint := range record.Fingerprints {
+		q.Suspect(now, fingerprint, []applier.CrashMark{mark})
+	}
+	return record, true
+}
+
+func (q *Quarantiner) crashID() uint64 {
+	var buffer [16]byte
+	binary.LittleEndian.PutUint64(buffer[:8], uint64(q.config.Member))
+	binary.LittleEndian.PutUint64(buffer[8:], q.generation)
+	return xxhash.Sum64(buffer[:])
+}
+
+// Marks returns the crashes that count against a fingerprint, for other processes.
+func (q *Quarantiner) Marks(fingerprint uint64) []applier.CrashMark {
+	if s := q.suspects[fingerprint]; s != nil {
+		return slices.Clone(s.marks)
+	}
+	return nil
+}
+
+// Suspect adds crashes that another process reported.
+func (q *Quarantiner) Suspect(now time.Duration, fingerprint uint64, marks []applier.CrashMark) {
+	if len(marks) == 0 {
+		return
+	}
+	s := q.entry(fingerprint)
+	for _, mark := range marks {
+		s.add(now, mark)
+	}
+}
+
+// Merge brings in the suspects of the state. A suspect that the state no longer lists was cleared by another process. A
+// refusal stays until it expires, since the state also drops suspects beyond its bound.
+func (q *Quarantiner) Merge(now time.Duration, counts []applier.SuspectCount) {
+	listed := make(map[uint64]bool, len(counts))
+	for _, c := range counts {
+		listed[c.Fingerprint] = true
+		q.Suspect(now, c.Fingerprint, c.Recent)
+		if s := q.suspects[c.Fingerprint]; s != nil {
+			s.logged = s.logged[:0]
+			for _, mark := range c.Recent {
+				s.logged = append(s.logged, mark.Crash)
+			}
+		}
+	}
+	for fingerprint, s := range q.suspects {
+		if len(s.logged) > 0 && !listed[fingerprint] && s.verdict() != Refuse {
+			s.clear(func(m applier.CrashMark) bool { return slices.Contains(s.logged, m.Crash) })
+			s.logged = nil
+		}
+	}
+}
+
+// TakeCleared returns the suspects that completed here since the last call, for the Cleared field of the next record.
+func (q *Quarantiner) TakeCleared() []uint64 {
+	cleared := q.cleared
+	q.cleared = nil
+	return cleared
+}
+
+// Expire ends suspicions whose last crash is longer ago than Expiry.
+func (q *Quarantiner) Expire(now time.Duration) {
+	for fingerprint, s := range q.suspects {
+		if now-s.changed < q.config.Expiry {
+			continue
+		}
+		if len(s.marks) == 0 && len(s.logged) == 0 {
+			delete(q.suspects, fingerprint)
+			continue
+		}
+		s.expire(now)
+	}
+}
+
+// entry returns the entry of a fingerprint. At the bound it replaces the least severe entry, the oldest of these.
+func (q *Quarantiner) entry(fingerprint uint64) *suspect {
+	if s := q.suspects[fingerprint]; s != nil {
+		return s
+	}
+	if len(q.suspects) >= q.config.Suspects {
+		delete(q.suspects, q.leastSevere())
+	}
+	s := &suspect{}
+	q.suspects[fingerprint] = s
+	return s
+}
+
+func (q *Quarantiner) leastSevere() uint64 {
+	return slices.MinFunc(slices.Collect(maps.Keys(q.suspects)), func(a, b uint64) int {
+		x, y := q.suspects[a], q.suspects[b]
+		return cmp.Or(cmp.Compare(x.verdict(), y.verdict()), cmp.Compare(x.changed, y.changed), cmp.Compare(a, b))
+	})
+}
