--- a/daemon/local.go
+++ b/daemon/local.go
@@ -20,8 +20,6 @@
 	probeTimeout  = 400 * time.Millisecond
 	// maxFailedProbes in a row count as the loss of the backend server. One may fail under load.
 	maxFailedProbes = 2
-	// crashGrace is the time in which a crashed backend server may come back before its ranges move.
-	crashGrace = 300 * time.Millisecond
 )
 
 // announcement is what a backend server says about itself, once a second and at every change.
@@ -93,7 +91,6 @@
 	last         announcement
 	at           time.Time
 	failedProbes int
-	lostSince    time.Time
 }
 
 // announced takes an announcement: it joins for a new backend server and resigns for a draining one.
--- a/router/forward.go
+++ b/router/forward.go
@@ -26,7 +26,6 @@
 // A call whose attempt has an unknown outcome is sent again only if it is repeatable, and its outcome then stays unknown
 // until an attempt is answered. A call that was not run is sent again while the reason is transient.
 func (rt *Router) forward(ctx context.Context, c *call) (encoder.Response, ResponseBody) {
-	last := notRunYet(encoder.NoOwner)
 	uncertain := false
 	var tried []applier.MemberID
 	for attempt := 0; ; attempt++ {
@@ -44,7 +43,6 @@
 		if body != nil {
 			rt.discard(body)
 		}
-		last = response
 		if response.Outcome != encoder.NotRun {
 			uncertain = true
 		}
@@ -52,7 +50,7 @@
 			tried = append(tried, m.ID)
 		}
 		if !rt.mayRetry(ctx, c, response, sent) || !rt.pause(ctx, response, attempt, changed) {
-			return settle(last, uncertain), nil
+			return settle(response, uncertain), nil
 		}
 	}
 }
