dispatcher: quarantine of requests that crash their backend server

Cause: a request that crashes its server was sent to the next one like any other. Change: the dispatcher keeps a quarantine, reports crashes and cleared suspects to the log, and passes the crashes of a request to the entry, which sends them with the next attempt.

--- a/daemon/member.go
+++ b/daemon/member.go
@@ -63,7 +63,7 @@
 		State: d.state, Lease: n, Self: func() applier.MemberID { return n.id },
 		Replicator: &replicator{daemon: d, incarnation: n}, Service: a.Service,
 		Admission:   admitter.Config{Slots: a.Slots, Ranks: ranks, QueueLimit: d.config.Settings.Limits.QueueLimit, NestedShare: nestedShare},
-		Connections: a.Connections, Metrics: d.metrics,
+		Connections: a.Connections, Metrics: d.metrics, Report: d.reportSuspects,
 		Fetched: func(epoch applier.Offset) bool { _, done := n.fetched.Load(epoch); return done },
 	})
 	n.dispatcher.SetBackend(a.Address, a.Slots)
@@ -101,6 +101,13 @@
 	}
 }
 
+// reportSuspects brings a crash to the log. The dispatcher holds the answers of the suspects back meanwhile.
+func (d *Daemon) reportSuspects(ctx context.Context, record applier.Suspect) {
+	if _, err := d.commit(ctx, record); err != nil {
+		d.metrics.GetOrCreateCounter("hibiscus_suspects_unreported_total").Inc()
+	}
+}
+
 // background returns a context that ends when the daemon has stopped.
 func (d *Daemon) background() (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -15,6 +15,7 @@
 	"hibiscusline/encoder"
 	"hibiscusline/follower"
 	"hibiscusline/hasher"
+	"hibiscusline/quarantiner"
 	"hibiscusline/timer"
 )
 
@@ -41,10 +42,8 @@
 	Connections int
 	// Fetched reports whether the idempotency rows of a range taken over at an epoch are here.
 	Fetched func(epoch applier.Offset) bool
-	// Crashed is told the fingerprints that were in flight when the backend server crashed.
-	Crashed func(fingerprints []uint64)
-	// Cleared is told a suspect that completed.
-	Cleared func(fingerprint uint64)
+	// Report brings a crash, or suspects that completed, to the log and returns when it is there.
+	Report  func(ctx context.Context, record applier.Suspect)
 	Metrics *metrics.Set
 }
 
@@ -56,7 +55,7 @@
 	ownership ownership
 	parents   parents
 	rows      rows
-	suspects  suspects
+	suspects  *suspects
 	observe   func(p hasher.Position)
 
 	mu      sync.Mutex
@@ -77,7 +76,7 @@
 		config: c, gate: newGate(c.Admission), backend: newBackend(c.Connections),
 		ownership: ownership{inFlight: map[uint64]hasher.Position{}, withheld: map[applier.Offset]time.Duration{}},
 		rows:      newRows(),
-		suspects:  newSuspects(),
+		suspects:  newSuspects(c.Self()),
 	}
 }
 
@@ -128,6 +127,7 @@
 			}
 		}
 	})
+	d.config.State.View(func(s *applier.State) { d.suspects.merge(s.Suspects) })
 	for epoch, wait := range waits {
 		d.ownership.isWithheld(epoch, wait)
 	}
@@ -207,13 +207,13 @@
 		settle = func(ending) {}
 	}
 	fingerprint := fingerprintOf(j.head)
-	alone, refused := d.suspects.verdict(fingerprint, j.head.Suspected)
-	if refused {
+	verdict := d.suspects.verdict(fingerprint, j.head.Crashes)
+	if verdict == quarantiner.Refuse {
 		settle(ending{})
 		return d.refuse(j, encoder.Poison)
 	}
 	release, refusal := d.gate.admit(ctx, admitter.Arrive{
-		Rank: j.head.Rank, Deadline: timer.Now() + time.Until(j.deadline), Nested: j.head.Nested, Alone: alone,
+		Rank: j.head.Rank, Deadline: timer.Now() + time.Until(j.deadline), Nested: j.head.Nested, Alone: verdict == quarantiner.RunAlone,
 	})
 	if refusal != nil {
 		settle(ending{})
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -31,23 +31,23 @@
 	defer cancel()
 	token := d.parents.add(Parent{Rank: j.head.Rank, Deadline: j.deadline})
 	defer d.parents.remove(token)
-	d.suspects.start(fingerprint)
+	running := d.suspects.start(fingerprint)
 	d.mu.Lock()
 	address := d.address
 	d.mu.Unlock()
 	x := d.backend.call(ctx, address, j.head, j.grant.assignment, token, j.body)
 	if x.err != nil {
-		return d.failed(ctx, j, x, settle, fingerprint, release)
+		return d.failed(ctx, j, x, settle, running, release)
 	}
 	defer x.response.Body.Close()
 	if x.response.StatusCode == http.StatusConflict && x.response.Header.Get(HeaderFenced) != "" {
-		d.finish(fingerprint)
+		d.finish(running)
 		release(false)
 		settle(ending{})
 		return d.refuse(j, encoder.FencedOff)
 	}
 	err := d.relay(j, sink, x.response, settle)
-	d.finish(fingerprint)
+	d.finish(running)
 	release(err == nil)
 	return err
 }
@@ -55,10 +55,16 @@
 // HeaderFenced marks a backend server's refusal of an old epoch.
 const HeaderFenced = "Hibiscus-Fenced"
 
-func (d *Dispatcher) finish(fingerprint uint64) {
-	if d.suspects.finish(fingerprint) && d.config.Cleared != nil {
-		d.config.Cleared(fingerprint)
+func (d *Dispatcher) finish(r running) {
+	cleared := d.suspects.finish(r)
+	if len(cleared) == 0 {
+		return
 	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+		defer cancel()
+		d.config.Report(ctx, applier.Suspect{Member: d.config.Self(), Cleared: cleared})
+	}()
 }
 
 func (d *Dispatcher) maxRequest(service string) time.Duration {
@@ -68,10 +74,10 @@
 }
 
 // failed handles a call without an answer: the server crashed, the connection broke, or the time ran out.
-func (d *Dispatcher) failed(ctx context.Context, j *job, x exchange, settle func(ending), fingerprint uint64, release func(bool)) error {
+func (d *Dispatcher) failed(ctx context.Context, j *job, x exchange, settle func(ending), r running, release func(bool)) error {
 	defer release(false)
 	if ctx.Err() != nil {
-		d.suspects.abandon(fingerprint)
+		d.suspects.cancel(r)
 		settle(ending{dispatched: x.connected})
 		if !x.connected {
 			return d.refuse(j, encoder.DeadlineExceeded)
@@ -83,7 +89,7 @@
 	d.mu.Unlock()
 	refused := d.backend.refusesConnections(address)
 	if !x.connected {
-		d.suspects.abandon(fingerprint)
+		d.suspects.cancel(r)
 		if refused {
 			d.backend.lost.Store(true)
 		}
@@ -94,11 +100,13 @@
 	reason := encoder.BackendFailed
 	if refused {
 		reason = encoder.ServerCrashed
-		d.crashed(fingerprint)
+		d.crashed(ctx, r)
 	} else {
-		d.suspects.abandon(fingerprint)
+		d.suspects.cancel(r)
 	}
-	return d.respond(j, encoder.Response{Outcome: encoder.Unknown, Reason: reason})
+	return d.respond(j, encoder.Response{
+		Outcome: encoder.Unknown, Reason: reason, Crashes: d.suspects.marks(r.fingerprint),
+	})
 }
 
 // relay passes a backend server's answer on. The answer to a non-repeatable request is settled before its last part goes
--- a/encoder/message.go
+++ b/encoder/message.go
@@ -80,8 +80,8 @@
 	Remaining      time.Duration       `cbor:"9,keyasint"`
 	IdempotencyKey string              `cbor:"10,keyasint,omitempty"`
 	Nested         bool                `cbor:"11,keyasint,omitempty"`
-	// Suspected means that the entry saw a backend server crash while it ran this request.
-	Suspected bool `cbor:"12,keyasint,omitempty"`
+	// Crashes are the crashes of backend servers that the entry knows this request was in flight in.
+	Crashes []applier.CrashMark `cbor:"12,keyasint,omitempty"`
 	// Length is the body's length in bytes, or -1 when it is not known.
 	Length  int64            `cbor:"13,keyasint"`
 	Applied applier.Offset   `cbor:"14,keyasint"`
@@ -102,6 +102,8 @@
 	// Replayed means that the answer is the stored outcome of an earlier request with the same idempotency key.
 	Replayed bool           `cbor:"8,keyasint,omitempty"`
 	Applied  applier.Offset `cbor:"9,keyasint"`
+	// Crashes are the crashes of backend servers that the request was in flight in.
+	Crashes []applier.CrashMark `cbor:"10,keyasint,omitempty"`
 }
 
 // Load is a process's first-hand view of the backend server beside it.
--- a/router/forward.go
+++ b/router/forward.go
@@ -81,9 +81,7 @@
 	case encoder.NotRun:
 		return r.Reason.Transient()
 	case encoder.Unknown, encoder.Answered:
-		if r.Reason == encoder.ServerCrashed {
-			c.head.Suspected = true
-		}
+		c.head.Crashes = append(c.head.Crashes, r.Crashes...)
 		return c.repeatable && sent && rt.config.Budget.Retry()
 	}
 	return false
