transporter: replace credential files as a whole

Issue writes the authority's file again for each process. A process started a moment earlier could read it truncated and end with 'holds no certificate'; the demo with 16 processes met this on its first run. Files are now written beside and renamed.

--- a/transporter/authority.go
+++ b/transporter/authority.go
@@ -76,13 +76,23 @@
 		files.Key:         encodePEM("PRIVATE KEY", keyDER),
 	}
 	for path, data := range contents {
-		if err := os.WriteFile(path, data, 0o600); err != nil {
+		if err := replaceFile(path, data); err != nil {
 			return Files{}, errors.Wrap(err, "write credentials")
 		}
 	}
 	return files, nil
 }
 
+// replaceFile writes a file so that a process that reads it meanwhile sees the old or the new content. The authority's file
+// is written again with each certificate, and a process that started at that moment read an empty one.
+func replaceFile(path string, data []byte) error {
+	temporary := path + ".new"
+	if err := os.WriteFile(temporary, data, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(temporary, path)
+}
+
 func certificateTemplate(name string, validity time.Duration) *x509.Certificate {
 	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), 120))
 	if err != nil {
