demonstrator, hibiscuslab: demo of both users' fleets in one process

The exit code is 1 if there were any.

The stopped process also gets callers of its own until 300 ms after the begin of the stop, so that requests in flight at its entry are judged too.

daemon.ErrKilled lets launcher end a daemon of this process without a leave; launcher.Node.Kill used to stop it gracefully there.

--- a/cmd/hibiscuslab/root.go
+++ b/cmd/hibiscuslab/root.go
@@ -13,7 +13,7 @@
 		Short:        "Test tools of hibiscusline",
 		SilenceUsage: true,
 	}
-	root.AddCommand(newLogCommand(), newServerCommand(), newLoadCommand(), newExperimentCommand(), newDaemonCommand())
+	root.AddCommand(newLogCommand(), newServerCommand(), newLoadCommand(), newExperimentCommand(), newDaemonCommand(), newDemoCommand())
 	return root
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -30,6 +30,10 @@
 	Logger   log.Logger
 }
 
+// ErrKilled is the cancellation cause that makes Run end at once, as if the process were killed: it hands nothing over,
+// finishes no request and doesn't leave. It serves tools that run several daemons in one process.
+var ErrKilled = errors.New("killed")
+
 // Daemon is one hibiscusd.
 type Daemon struct {
 	config    Config
@@ -123,7 +127,12 @@
 	}
 	d.log("state", "started", "listen", d.config.Settings.Listen, "quic", d.transport.Address())
 	<-ctx.Done()
-	stopErr := d.stop(servers)
+	var stopErr error
+	if errors.Is(context.Cause(ctx), ErrKilled) {
+		servers.close()
+	} else {
+		stopErr = d.stop(servers)
+	}
 	cancel()
 	close(d.stopped)
 	d.tasks.Wait()
@@ -148,6 +157,14 @@
 	admin   *http.Server
 }
 
+// close cuts all connections.
+func (s *servers) close() {
+	for _, server := range []*http.Server{s.callers, s.local, s.admin} {
+		// Nothing is lost by an error here, since no request is to be finished.
+		_ = server.Close()
+	}
+}
+
 func (d *Daemon) listen() (*servers, error) {
 	limits := d.config.Settings.Limits
 	protocols := &http.Protocols{}
--- a/emulator/ledger.go
+++ b/emulator/ledger.go
@@ -56,6 +56,13 @@
 	return LedgerReport{Executions: slices.Clone(l.executions), Dropped: l.dropped}
 }
 
+// Len returns the number of executions recorded.
+func (l *Ledger) Len() int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return len(l.executions)
+}
+
 // begin records the start of an execution and returns its index, or -1 when the ledger is full.
 func (l *Ledger) begin(e Execution) int {
 	l.mutex.Lock()
--- a/launcher/node.go
+++ b/launcher/node.go
@@ -42,7 +42,7 @@
 // process is one run of a hibiscusd.
 type process struct {
 	command *exec.Cmd
-	cancel  context.CancelFunc
+	cancel  context.CancelCauseFunc
 	done    chan struct{}
 	err     error
 	frozen  bool
@@ -178,7 +178,7 @@
 	if logger == nil {
 		logger = log.NewNopLogger()
 	}
-	ctx, cancel := context.WithCancel(n.fleet.context)
+	ctx, cancel := context.WithCancelCause(n.fleet.context)
 	p := &process{cancel: cancel, done: make(chan struct{})}
 	d := daemon.New(daemon.Config{Settings: n.Settings, Logger: logger})
 	go func() {
@@ -235,7 +235,7 @@
 	p := n.current()
 	n.expectEnd(p)
 	if p.cancel != nil {
-		p.cancel()
+		p.cancel(nil)
 	} else if err := p.command.Process.Signal(syscall.SIGTERM); err != nil {
 		return errors.Wrap(err, "stop hibiscusd")
 	}
@@ -247,7 +247,8 @@
 	}
 }
 
-// Kill ends the hibiscusd at once. Inside this process, where that is not possible, it stops it gracefully.
+// Kill ends the hibiscusd at once. One inside this process still closes its connections, so its peers notice its end
+// sooner than that of a killed process.
 func (n *Node) Kill() error {
 	p := n.current()
 	if p == nil {
@@ -255,7 +256,7 @@
 	}
 	n.expectEnd(p)
 	if p.cancel != nil {
-		p.cancel()
+		p.cancel(daemon.ErrKilled)
 		<-p.done
 		return nil
 	}
