--- a/cmd/hibiscuslab/root.go
+++ b/cmd/hibiscuslab/root.go
@@ -13,7 +13,10 @@
 		Short:        "Test tools of hibiscusline",
 		SilenceUsage: true,
 	}
-	root.AddCommand(newLogCommand(), newServerCommand(), newLoadCommand(), newExperimentCommand(), newDaemonCommand(), newDemoCommand())
+	root.AddCommand(
+		newLogCommand(), newServerCommand(), newLoadCommand(), newExperimentCommand(), newDaemonCommand(), newDemoCommand(),
+		newCertificatesCommand(),
+	)
 	return root
 }
 
