applier: property tests, fuzz targets, golden file; fixes of the faults found

Cause: every process computes its state with this package, and no test covered it. The tests failed on these faults, each before its fix: a state that has applied nothing, or only skipped records, encoded differently after a checkpoint; a move to the owner itself changed the epoch and dropped the lineage; a decoded state with a null member stopped the process at a later record; a collector kept unfinished checkpoints forever, and accepted a state of another offset than its pieces name; a checkpoint record could claim a future state; pending proposals and the reasons of refusals were unbounded; a configuration could ask for 655 million ranges. Ruled out: trust in checkpoints and in states of peers because their authors check them: a fault of one author would stop every reader.

--- a/applier/apply.go
+++ b/applier/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"github.com/pkg/errors"
 
@@ -22,7 +23,7 @@
 	}
 	result := Result{ID: e.ID, Offset: offset, Kind: e.Record.kind(), Accepted: true}
 	if err := s.applyRecord(offset, e.Record); err != nil {
-		result.Accepted, result.Reason = false, err.Error()
+		result.Accepted, result.Reason = false, reason(err)
 	}
 	if _, checkpoint := e.Record.(Checkpoint); !checkpoint {
 		s.Results = appendBounded(s.Results, result, maxResults)
@@ -30,6 +31,16 @@
 	return result
 }
 
+// reason returns the text of an error within the bound that keeps the state small.
+func reason(err error) string {
+	text := err.Error()
+	if len(text) <= maxReason {
+		return text
+	}
+	// The bound may cut a character in two, and text in CBOR must be valid.
+	return strings.ToValidUTF8(text[:maxReason], "")
+}
+
 // Skip passes over a record that can't be decoded, so that a foreign entry in the stream doesn't stop the fold.
 func (s *State) Skip(offset Offset) {
 	if offset > s.Applied {
@@ -79,7 +90,7 @@
 	case Settle:
 		return s.applySettle(r)
 	case Checkpoint:
-		s.applyCheckpoint(r)
+		s.applyCheckpoint(offset, r)
 		return nil
 	}
 	return errors.Errorf("record type %T is not known", record)
@@ -215,6 +226,10 @@
 	if target.Status != Active || target.Service != r.Service {
 		return errors.Errorf("member %s can't own ranges of service %q now", r.To, r.Service)
 	}
+	// A move to the owner itself would drop the lineage without a transfer of the idempotency rows.
+	if r.From == r.To {
+		return errors.Errorf("member %s can't move ranges to itself", r.To)
+	}
 	indices, err := s.matchRanges(r.Service, r.From, r.Ranges)
 	if err != nil {
 		return err
@@ -312,8 +327,10 @@
 	c.Recent = appendBounded(c.Recent, mark, maxCrashMarks)
 }
 
-func (s *State) applyCheckpoint(r Checkpoint) {
+func (s *State) applyCheckpoint(offset Offset, r Checkpoint) {
 	switch {
+	case r.AsOf >= offset:
+		return
 	case r.Index == 0:
 		s.PendingCheckpoint = checkpointProgress{ID: r.ID, Next: 1}
 	case r.ID == s.PendingCheckpoint.ID && r.Index == s.PendingCheckpoint.Next:
--- a/applier/configuration.go
+++ b/applier/configuration.go
@@ -15,7 +15,7 @@
 	err := s.checkProposal(r)
 	switch {
 	case err != nil:
-		proposal.Status, proposal.Reason, proposal.Configuration = Refused, err.Error(), nil
+		proposal.Status, proposal.Reason, proposal.Configuration = Refused, reason(err), nil
 	case s.Version > 0 && s.Configuration.Policy.RequireApproval:
 		proposal.Status = Pending
 	default:
@@ -48,9 +48,22 @@
 	if s.Version > 0 && !slices.Contains(s.Configuration.Policy.Operators, r.Author) {
 		return errors.Errorf("%q is not an operator of the configuration in force", r.Author)
 	}
+	if s.pendingCount() >= maxPending {
+		return errors.Errorf("%d proposals wait for a decision; approve or reject one first", maxPending)
+	}
 	return nil
 }
 
+func (s *State) pendingCount() int {
+	count := 0
+	for _, p := range s.Proposals {
+		if p.Status == Pending {
+			count++
+		}
+	}
+	return count
+}
+
 // putInForce makes a proposal the configuration in force. Other pending proposals become stale.
 func (s *State) putInForce(offset Offset, p *Proposal) {
 	for i := range s.Proposals {
--- /dev/null
+++ b/applier/fold_test.go
@@ -0,0 +1,250 @@
+package applier
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"hibiscusline/hasher"
+	"hibiscusline/validator"
+)
+
+// testConfiguration has two keyed services and one that isn't; keyed says whether the second one is keyed at present.
+func testConfiguration(keyed, approval bool, key string) validator.Configuration {
+	second := validator.Service{MaxRequest: validator.Duration(time.Second)}
+	if keyed {
+		second.Keyed, second.InitialRanges, second.Placement = true, 2, "east"
+	}
+	c := validator.Configuration{
+		Services: map[string]validator.Service{
+			"stock": {Keyed: true, InitialRanges: 3, MaxRequest: validator.Duration(time.Second)}, "orders": second,
+			"guides": {MaxRequest: validator.Duration(time.Second)},
+		},
+		Ranks:      map[string]validator.Rank{"order": {Floor: 0.5, Target: validator.Duration(time.Second)}},
+		Placements: map[string]validator.Placement{"east": {Zones: []string{"z1"}}},
+		Policy:     validator.Policy{Operators: []string{"ann", "ben"}, RequireApproval: approval},
+		KeyRanges:  map[string]validator.KeyRange{"hot": {Service: "stock", Key: key}},
+	}
+	for _, service := range []string{"stock", "orders", "guides"} {
+		c.Rules = append(c.Rules, validator.Rule{Name: service, Service: service, Rank: "order"})
+	}
+	return c
+}
+
+// history draws records, most of them made from the present state and some from an outdated or wrong view.
+type history struct {
+	t         *rapid.T
+	state     State
+	envelopes []Envelope
+}
+
+func (h *history) member() MemberID { return MemberID(rapid.IntRange(0, 7).Draw(h.t, "member")) }
+
+func (h *history) service() string {
+	return rapid.SampledFrom([]string{"stock", "orders", "guides", "none"}).Draw(h.t, "service")
+}
+
+func (h *history) operator() string {
+	return rapid.SampledFrom([]string{"ann", "ben", "eve"}).Draw(h.t, "operator")
+}
+
+// version returns the right version most of the time.
+func (h *history) version(right Offset) Offset {
+	if rapid.IntRange(0, 4).Draw(h.t, "outdated") == 0 {
+		return Offset(rapid.IntRange(0, len(h.envelopes)).Draw(h.t, "version"))
+	}
+	return right
+}
+
+func (h *history) rangeOf(service string) (RangeEpoch, MemberID) {
+	ranges := h.state.Assignments[service]
+	if len(ranges) == 0 {
+		return RangeEpoch{Range: hasher.Full()}, 0
+	}
+	a := rapid.SampledFrom(ranges).Draw(h.t, "range")
+	return RangeEpoch{Range: a.Range, Epoch: h.version(a.Epoch)}, a.Owner
+}
+
+func (h *history) guardians(id MemberID) (Offset, []MemberID) {
+	if m := h.state.Members[id]; m != nil {
+		return h.version(m.GuardianVersion), slices.Clone(m.Guardians)
+	}
+	return 0, nil
+}
+
+func (h *history) record() Record {
+	id, service := h.member(), h.service()
+	version, guardians := h.guardians(id)
+	switch rapid.SampledFrom([]Kind{
+		KindJoin, KindJoin, KindSetGuardians, KindDrain, KindLeave, KindTakeOver, KindTakeOver, KindMove, KindMove, KindSplit,
+		KindEvict, KindPropose, KindApprove, KindReject, KindSuspect, KindSettle, KindSettle,
+	}).Draw(h.t, "kind") {
+	case KindJoin:
+		zone := rapid.SampledFrom([]string{"z1", "z2"}).Draw(h.t, "zone")
+		return Join{Member: Member{ID: id, Service: service, Zone: zone, Guardians: []MemberID{9}}}
+	case KindSetGuardians:
+		return SetGuardians{Member: id, Version: version, Guardians: []MemberID{h.member(), h.member()}}
+	case KindDrain:
+		return Drain{Member: id}
+	case KindLeave:
+		return Leave{Member: id}
+	case KindTakeOver:
+		return TakeOver{Member: id, Version: version, AttestedBy: guardians}
+	case KindMove:
+		r, owner := h.rangeOf(service)
+		return Move{Service: service, From: owner, To: id, Ranges: []RangeEpoch{r}}
+	case KindSplit:
+		r, _ := h.rangeOf(service)
+		return Split{Service: service, Range: r, Position: hasher.Position(rapid.Uint64().Draw(h.t, "position"))}
+	case KindEvict:
+		return Evict{Member: id, Operator: h.operator()}
+	}
+	return h.otherRecord(id)
+}
+
+func (h *history) otherRecord(id MemberID) Record {
+	proposal := Offset(rapid.IntRange(0, len(h.envelopes)).Draw(h.t, "proposal"))
+	for _, p := range h.state.Proposals {
+		if p.Status == Pending {
+			proposal = h.version(p.Offset)
+		}
+	}
+	switch rapid.SampledFrom([]Kind{KindPropose, KindApprove, KindReject, KindSuspect, KindSettle}).Draw(h.t, "other kind") {
+	case KindPropose:
+		c := testConfiguration(rapid.Bool().Draw(h.t, "keyed"), rapid.Bool().Draw(h.t, "approval"), h.operator())
+		return Propose{Author: h.operator(), Base: h.version(h.state.Version), Configuration: c}
+	case KindApprove:
+		return Approve{Operator: h.operator(), Proposal: proposal}
+	case KindReject:
+		return Reject{Operator: h.operator(), Proposal: proposal}
+	case KindSuspect:
+		f := rapid.SliceOfN(rapid.Uint64Range(1, 4), 0, 3)
+		return Suspect{Member: id, Fingerprints: f.Draw(h.t, "suspects"), Cleared: f.Draw(h.t, "cleared")}
+	}
+	return Settle{Member: id, AsOf: h.version(h.state.Applied)}
+}
+
+// envelope returns a new record or, now and then, one that was appended before.
+func (h *history) envelope() Envelope {
+	if len(h.envelopes) > 0 && rapid.IntRange(0, 9).Draw(h.t, "again") == 0 {
+		return rapid.SampledFrom(h.envelopes).Draw(h.t, "duplicate")
+	}
+	return Envelope{ID: fmt.Sprint("record ", len(h.envelopes)), Record: h.record()}
+}
+
+type view map[string][]Assignment
+
+func viewOf(s *State) view {
+	v := view{}
+	for service, ranges := range s.Assignments {
+		v[service] = slices.Clone(ranges)
+	}
+	return v
+}
+
+func requirePartition(t require.TestingT, s *State) {
+	for name, service := range s.Configuration.Services {
+		require.Equal(t, service.Keyed, len(s.Assignments[name]) > 0, "ranges of service %s", name)
+	}
+	for service, ranges := range s.Assignments {
+		next := hasher.Position(0)
+		for i, a := range ranges {
+			require.Equal(t, next, a.Range.Low)
+			require.LessOrEqual(t, a.Range.Low, a.Range.High)
+			next = a.Range.High + 1
+			require.Equal(t, i == len(ranges)-1, next == 0, "only the last range ends the key space")
+			if a.Owner != 0 {
+				require.Contains(t, s.Members, a.Owner)
+				require.Equal(t, service, s.Members[a.Owner].Service)
+			}
+		}
+	}
+}
+
+func requireEpochs(t require.TestingT, before view, s *State) {
+	for service, ranges := range s.Assignments {
+		for _, a := range ranges {
+			i, found := findRange(before[service], a.Range.Low)
+			if !found {
+				require.Equal(t, s.Applied, a.Epoch, "a new range")
+				continue
+			}
+			was := before[service][i]
+			require.GreaterOrEqual(t, a.Epoch, was.Epoch)
+			if a.Owner != was.Owner {
+				require.Greater(t, a.Epoch, was.Epoch, "the owner changed")
+				require.Equal(t, s.Applied, a.Epoch)
+			} else {
+				require.Equal(t, was.Epoch, a.Epoch, "the owner is the same")
+			}
+		}
+	}
+}
+
+func encoded(t require.TestingT, s *State) []byte {
+	data, err := s.Encode()
+	require.NoError(t, err)
+	return data
+}
+
+func (h *history) step(t *rapid.T) {
+	e, offset := h.envelope(), h.state.Applied+1
+	before, version, data := viewOf(&h.state), h.state.Version, encoded(t, &h.state)
+	_, duplicate := h.state.ResultOf(e.ID)
+	result := h.state.Apply(offset, e)
+	h.envelopes = append(h.envelopes, e)
+	requirePartition(t, &h.state)
+	requireEpochs(t, before, &h.state)
+	require.GreaterOrEqual(t, h.state.Version, version)
+	if duplicate {
+		require.Less(t, result.Offset, offset)
+		unchanged := h.state
+		unchanged.Applied--
+		require.Equal(t, data, encoded(t, &unchanged), "a duplicate changes nothing but Applied")
+	}
+}
+
+func applyAll(s *State, envelopes []Envelope) {
+	for _, e := range envelopes {
+		s.Apply(s.Applied+1, e)
+	}
+}
+
+func restore(t require.TestingT, s *State) *State {
+	pieces, err := s.Checkpoints("id")
+	require.NoError(t, err)
+	var collector Collector
+	for i, piece := range pieces {
+		restored, err := collector.Add(piece)
+		require.NoError(t, err)
+		require.Equal(t, i == len(pieces)-1, restored != nil)
+		if restored != nil {
+			return restored
+		}
+	}
+	return nil
+}
+
+// Guards against two owners of a key, a key without range, an epoch that doesn't fence, a configuration that reverts, and
+// states that differ between processes that started from a checkpoint and others.
+func TestFoldInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := &history{t: t}
+		first := Propose{Author: "ann", Configuration: testConfiguration(true, false, "bolt")}
+		h.envelopes = []Envelope{{ID: "first", Record: first}}
+		h.state.Apply(1, h.envelopes[0])
+		t.Repeat(map[string]func(*rapid.T){"step": h.step})
+
+		cut := rapid.IntRange(0, len(h.envelopes)).Draw(t, "cut")
+		var half State
+		applyAll(&half, h.envelopes[:cut])
+		restored := restore(t, &half)
+		require.Equal(t, encoded(t, &half), encoded(t, restored))
+		applyAll(restored, h.envelopes[cut:])
+		require.Equal(t, encoded(t, &h.state), encoded(t, restored))
+	})
+}
--- a/applier/state.go
+++ b/applier/state.go
@@ -17,6 +17,8 @@
 	maxLineage   = 4
 	// maxCrashMarks exceeds the two crashes after which a request is refused.
 	maxCrashMarks = 4
+	maxPending    = 32
+	maxReason     = 2048
 )
 
 // Assignment is a range of a service with its owner.
--- /dev/null
+++ b/applier/state_test.go
@@ -0,0 +1,221 @@
+package applier
+
+import (
+	"encoding/hex"
+	"fmt"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/sebdah/goldie/v2"
+	"github.com/stretchr/testify/require"
+
+	"hibiscusline/hasher"
+	"hibiscusline/validator"
+)
+
+// goldenRecords has one record of each kind.
+func goldenRecords() []Record {
+	r := RangeEpoch{Range: hasher.Range{Low: 1, High: 2}, Epoch: 3}
+	return []Record{
+		Join{Member: Member{
+			ID: 1, Name: "bolt-1", Zone: "z1", Service: "stock", Address: netip.MustParseAddrPort("127.0.0.1:1"),
+			Admin: netip.MustParseAddrPort("[::1]:2"), Slots: 12, Fenced: true,
+		}},
+		SetGuardians{Member: 1, Version: 2, Guardians: []MemberID{3, 4}},
+		Drain{Member: 1},
+		Leave{Member: 1},
+		TakeOver{Member: 1, Version: 2, AttestedBy: []MemberID{3}},
+		Move{Service: "stock", From: 1, To: 2, Ranges: []RangeEpoch{r}},
+		Split{Service: "stock", Range: r, Position: 2},
+		Evict{Member: 1, Operator: "ann"},
+		Propose{Author: "ann", Base: 1, Comment: "c", Configuration: testConfiguration(true, true, "bolt")},
+		Approve{Operator: "ben", Proposal: 4},
+		Reject{Operator: "ben", Proposal: 4, Comment: "no"},
+		Suspect{Member: 1, Fingerprints: []uint64{5}, Cleared: []uint64{6}, Crash: 7},
+		Settle{Member: 1, AsOf: 8},
+		Checkpoint{ID: "c", AsOf: 1, Index: 0, Total: 1, Piece: []byte{1}},
+	}
+}
+
+// goldenState is the state after all golden records and some that they depend on.
+func goldenState() *State {
+	s := &State{}
+	for i, record := range append([]Record{
+		Propose{Author: "ann", Configuration: testConfiguration(true, true, "bolt")},
+		Join{Member: Member{ID: 3, Service: "stock", Zone: "z2"}},
+		Join{Member: Member{ID: 4, Service: "orders", Zone: "z1"}},
+	}, goldenRecords()...) {
+		s.Apply(Offset(i+1), Envelope{ID: fmt.Sprint(i), Record: record})
+	}
+	return s
+}
+
+// Guards against changes of the encoded forms, which old records and checkpoints in the log have.
+func TestEncodedForms(t *testing.T) {
+	var lines strings.Builder
+	for _, record := range goldenRecords() {
+		data, err := Encode(Envelope{ID: "id", Record: record})
+		require.NoError(t, err)
+		decoded, err := Decode(data)
+		require.NoError(t, err)
+		require.Equal(t, Envelope{ID: "id", Record: record}, decoded)
+		fmt.Fprintf(&lines, "%s %s\n", KindOf(record), hex.EncodeToString(data))
+	}
+	fmt.Fprintf(&lines, "state %s\n", hex.EncodeToString(encoded(t, goldenState())))
+	goldie.New(t).Assert(t, "encoded_forms", []byte(lines.String()))
+}
+
+// Guards against checkpoints in several pieces that can't be read again, and pieces that pile up in a reader.
+func TestCollector(t *testing.T) {
+	c := testConfiguration(true, false, "bolt")
+	service := c.Services["stock"]
+	service.InitialRanges = validator.MaxInitialRanges
+	c.Services["stock"] = service
+	var s State
+	s.Apply(1, Envelope{ID: "a", Record: Propose{Author: "ann", Configuration: c}})
+	pieces, err := s.Checkpoints("id")
+	require.NoError(t, err)
+	require.Greater(t, len(pieces), 2)
+	require.Equal(t, encoded(t, &s), encoded(t, restore(t, &s)))
+
+	var collector Collector
+	for i := range 100 {
+		piece := pieces[0]
+		piece.ID = fmt.Sprint(i)
+		_, err := collector.Add(piece)
+		require.NoError(t, err)
+		_, err = collector.Add(piece)
+		require.NoError(t, err, "a repeated piece")
+	}
+	require.LessOrEqual(t, len(collector.pieces), maxCollected)
+	_, err = collector.Add(pieces[1])
+	require.Error(t, err, "a piece without the one before it")
+
+	wrong, err := (&State{Applied: 1}).Checkpoints("wrong")
+	require.NoError(t, err)
+	wrong[0].AsOf = 2
+	_, err = collector.Add(wrong[0])
+	require.Error(t, err, "a state of another offset than the piece says")
+}
+
+// Guards against a checkpoint record that claims a future state, which would keep real ones from being counted.
+func TestCheckpointOfTheFutureIsIgnored(t *testing.T) {
+	var s State
+	s.Apply(1, Envelope{ID: "a", Record: Checkpoint{ID: "c", AsOf: 1, Total: 1}})
+	require.Zero(t, s.CheckpointAsOf)
+	s.Apply(2, Envelope{ID: "b", Record: Checkpoint{ID: "d", AsOf: 1, Total: 1}})
+	require.Equal(t, Offset(1), s.CheckpointAsOf)
+}
+
+// Guards against states that grow with the number or size of bad and pending proposals.
+func TestProposalsAreBounded(t *testing.T) {
+	var s State
+	s.Apply(1, Envelope{ID: "first", Record: Propose{Author: "ann", Configuration: testConfiguration(true, true, "bolt")}})
+	bad := testConfiguration(true, true, "bolt")
+	for i := range 200 {
+		bad.Ranks[fmt.Sprint("É ", i)] = validator.Rank{Urgency: -1}
+	}
+	for i := range 2 * maxProposals {
+		c := testConfiguration(true, true, "bolt")
+		if i%2 == 0 {
+			c = bad
+		}
+		s.Apply(s.Applied+1, Envelope{ID: fmt.Sprint(i), Record: Propose{Author: "ann", Base: 1, Configuration: c}})
+	}
+	require.Len(t, s.Proposals, maxProposals)
+	require.Equal(t, InForce, s.Proposals[0].Status)
+	pending := 0
+	for _, p := range s.Proposals {
+		require.LessOrEqual(t, len(p.Reason), maxReason)
+		if p.Status == Pending {
+			pending++
+		}
+	}
+	require.LessOrEqual(t, pending, maxPending)
+	require.Equal(t, encoded(t, &s), encoded(t, restore(t, &s)))
+}
+
+func fuzzStates(f *testing.F) {
+	for _, size := range []string{"9a00ffffff", "9b7fffffffffffffff", "ba00ffffff", "5b7fffffffffffffff", "a102a101f6", "a103a16573746f636b80"} {
+		data, err := hex.DecodeString(size)
+		require.NoError(f, err)
+		f.Add(data)
+		f.Add(append([]byte{0xa1, 2}, data...))
+	}
+	f.Add(encoded(f, goldenState()))
+}
+
+// Guards against a record in the log that stops every process that reads it.
+func FuzzDecode(f *testing.F) {
+	fuzzStates(f)
+	for _, record := range goldenRecords() {
+		data, err := Encode(Envelope{ID: "id", Record: record})
+		require.NoError(f, err)
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		e, err := Decode(data)
+		if err != nil {
+			return
+		}
+		again, err := Encode(e)
+		require.NoError(t, err)
+		_, err = Decode(again)
+		require.NoError(t, err)
+		s := goldenState()
+		s.Apply(s.Applied+1, e)
+		requirePartition(t, s)
+		require.Equal(t, encoded(t, s), encoded(t, restore(t, s)))
+	})
+}
+
+// Guards against a checkpoint or a peer's state that stops the process that reads it, at once or at a later record.
+func FuzzDecodeState(f *testing.F) {
+	fuzzStates(f)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := DecodeState(data)
+		if err != nil {
+			return
+		}
+		for i, record := range goldenRecords() {
+			s.Apply(s.Applied+1, Envelope{ID: fmt.Sprint("later ", i), Record: record})
+		}
+		encoded(t, s)
+	})
+}
+
+// Guards against states that well-formed CBOR can express and that stop a process at a later record, such as a member
+// that is null or a pending proposal whose configuration was never checked.
+func TestDecodeStateRejectsBrokenStates(t *testing.T) {
+	for _, broken := range []map[int]any{
+		{2: map[int]any{1: nil}},
+		{2: map[int]any{1: map[int]any{1: 2}}},
+		{3: map[string]any{"stock": []any{}}},
+		{3: map[string]any{"stock": []any{map[int]any{1: map[int]any{1: 1, 2: uint64(1<<64 - 1)}}}}},
+		{3: map[string]any{"stock": []any{map[int]any{1: map[int]any{1: 0, 2: 5}}}}},
+		{5: 1},
+		{6: []any{map[int]any{1: 4}}},
+		{6: []any{map[int]any{1: 4, 9: map[int]any{}}}},
+	} {
+		data, err := cbor.Marshal(broken)
+		require.NoError(t, err)
+		_, err = DecodeState(data)
+		require.Error(t, err, "%v", broken)
+	}
+}
+
+// Guards against a configuration that exhausts the memory of every process that reads the log.
+func TestRangesOfAConfigurationAreBounded(t *testing.T) {
+	c := testConfiguration(true, false, "bolt")
+	for i := range 17 {
+		name := fmt.Sprint("s", i)
+		c.Services[name] = validator.Service{Keyed: true, InitialRanges: validator.MaxInitialRanges, MaxRequest: 1}
+		c.Rules = append(c.Rules, validator.Rule{Name: name, Service: name, Rank: "order"})
+	}
+	var s State
+	result := s.Apply(1, Envelope{ID: "a", Record: Propose{Author: "ann", Configuration: c}})
+	require.False(t, result.Accepted)
+	require.Contains(t, result.Reason, "initial_ranges")
+}
--- a/validator/check.go
+++ b/validator/check.go
@@ -37,7 +37,10 @@
 // Limits of a configuration.
 const (
 	MaxInitialRanges = 65536
-	maxObjects       = 10000
+	// MaxRanges bounds the sum of initial ranges over all services. Every process keeps all ranges in memory, some 100
+	// bytes each.
+	MaxRanges  = 1 << 20
+	maxObjects = 10000
 )
 
 // Check checks a configuration as a unit. The error, if any, is of type Problems.
@@ -106,6 +109,7 @@
 func (k *checker) checkServices() {
 	c := k.configuration
 	k.require(len(c.Services) <= maxObjects, "configuration", "services", len(c.Services), fmt.Sprintf("at most %d", maxObjects))
+	ranges := 0
 	for _, name := range slices.Sorted(maps.Keys(c.Services)) {
 		s, object := c.Services[name], "service "+name
 		k.requireName(object, name)
@@ -117,9 +121,11 @@
 		} else {
 			k.require(s.InitialRanges == 0, object, "initial_ranges", s.InitialRanges, "0 for a service that is not keyed")
 		}
+		ranges += s.InitialRanges
 		_, present := c.Placements[s.Placement]
 		k.require(s.Placement == "" || present, object, "placement", s.Placement, names(c.Placements))
 	}
+	k.require(ranges <= MaxRanges, "configuration", "services.initial_ranges", ranges, fmt.Sprintf("a sum of at most %d", MaxRanges))
 }
 
 func (k *checker) checkRules() {
