disruptor: fault-injecting proxy for TCP and UDP

Cause: integration tests and experiments need networks that delay, cut, reset, lose and reorder between real processes. Ruled out: faults by firewall rules, which need privileges; tests with closed connections only, since a cut network closes nothing. Change: Proxy with toxics for each direction (latency, jitter, bandwidth, cut, reset; for UDP loss, duplication, reordering), Reset and Blackhole; a session for each UDP client. A dial that a reset interrupts ends with RST too, not with FIN, which a reader could take for the end of a response. Conclusion: a client can connect to the proxy during a cut, since the kernel accepts for it; its data waits.

--- /dev/null
+++ b/disruptor/proxy_test.go
@@ -0,0 +1,193 @@
+package disruptor
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"slices"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+)
+
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+// silence is how long a test waits for data that must not come. A longer wait would only find more.
+const silence = 50 * time.Millisecond
+
+func start(t *testing.T, protocol Protocol, upstream net.Addr) *Proxy {
+	t.Helper()
+	p, err := New(Config{Protocol: protocol, Listen: loopback, Upstream: netip.MustParseAddrPort(upstream.String()), Seed: 1})
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, p.Close()) })
+	return p
+}
+
+// connection returns the client's and the server's end of a connection through a new proxy.
+func connection(t *testing.T) (*Proxy, *net.TCPConn, *net.TCPConn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", loopback.String())
+	require.NoError(t, err)
+	defer func() { require.NoError(t, listener.Close()) }()
+	p := start(t, TCP, listener.Addr())
+	client, err := net.Dial("tcp", p.Addr().String())
+	require.NoError(t, err)
+	server, err := listener.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { _, _ = client.Close(), server.Close() })
+	return p, client.(*net.TCPConn), server.(*net.TCPConn)
+}
+
+// Guards against data that is lost, changed or reordered by delays, changes of toxics and half-closed connections.
+func TestTCPKeepsTheStream(t *testing.T) {
+	p, client, server := connection(t)
+	sent := bytes.Repeat([]byte("0123456789abcdef+"), 60_000)
+	var work sync.WaitGroup
+	work.Go(func() {
+		for i := range 200 {
+			p.Set(Upstream, Toxics{Latency: time.Millisecond, Jitter: time.Millisecond, Cut: i%2 == 0, Bandwidth: 10 << 20})
+			p.Set(Downstream, Toxics{Bandwidth: 20 << 20})
+		}
+		p.Set(Upstream, Toxics{})
+	})
+	work.Go(func() {
+		_, _ = io.Copy(server, server)
+		_ = server.CloseWrite()
+	})
+	work.Go(func() {
+		_, _ = client.Write(sent)
+		_ = client.CloseWrite()
+	})
+	received, err := io.ReadAll(client)
+	require.NoError(t, err)
+	require.True(t, bytes.Equal(sent, received))
+	work.Wait()
+}
+
+// Guards against a one-way cut that stops the other way, and against data lost by a cut that ends.
+func TestTCPCutsOneWay(t *testing.T) {
+	p, client, server := connection(t)
+	p.Set(Downstream, Toxics{Cut: true})
+	_, err := client.Write([]byte("a"))
+	require.NoError(t, err)
+	buffer := make([]byte, 1)
+	_, err = io.ReadFull(server, buffer)
+	require.NoError(t, err)
+	_, err = server.Write([]byte("b"))
+	require.NoError(t, err)
+	require.NoError(t, client.SetReadDeadline(time.Now().Add(silence)))
+	_, err = client.Read(buffer)
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	require.NoError(t, client.SetReadDeadline(time.Time{}))
+	p.Set(Downstream, Toxics{})
+	_, err = io.ReadFull(client, buffer)
+	require.NoError(t, err)
+	require.Equal(t, "b", string(buffer))
+}
+
+// Guards against connections that end with FIN, which a reader takes for a complete response.
+func TestTCPReset(t *testing.T) {
+	for name, reset := range map[string]func(*Proxy, *net.TCPConn){
+		"at once": func(p *Proxy, _ *net.TCPConn) { p.Reset() },
+		"by data": func(p *Proxy, client *net.TCPConn) {
+			p.Set(Upstream, Toxics{Reset: true})
+			_, _ = client.Write([]byte("a"))
+		},
+		"by close": func(p *Proxy, _ *net.TCPConn) { _ = p.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			p, client, server := connection(t)
+			reset(p, client)
+			for _, end := range []*net.TCPConn{client, server} {
+				_, err := end.Read(make([]byte, 1))
+				require.ErrorIs(t, err, syscall.ECONNRESET)
+			}
+		})
+	}
+}
+
+// exchange sends numbered datagrams to an echo server and returns the answers, until there are enough.
+func exchange(t *testing.T, client net.Conn, count, answers int) []byte {
+	t.Helper()
+	for i := range count {
+		_, err := client.Write([]byte{byte(i)})
+		require.NoError(t, err)
+	}
+	var received []byte
+	buffer := make([]byte, 10)
+	for len(received) < answers {
+		n, err := client.Read(buffer)
+		require.NoError(t, err)
+		require.Equal(t, 1, n)
+		received = append(received, buffer[0])
+	}
+	return received
+}
+
+// Guards against toxics that have no effect on datagrams, and against answers that go to another client.
+func TestUDPToxics(t *testing.T) {
+	echo, err := net.ListenPacket("udp", loopback.String())
+	require.NoError(t, err)
+	var work sync.WaitGroup
+	work.Go(func() {
+		buffer := make([]byte, 10)
+		for {
+			n, from, err := echo.ReadFrom(buffer)
+			if err != nil {
+				return
+			}
+			_, _ = echo.WriteTo(buffer[:n], from)
+		}
+	})
+	t.Cleanup(func() { require.NoError(t, echo.Close()); work.Wait() })
+	p := start(t, UDP, echo.LocalAddr())
+	var clients [2]net.Conn
+	for i := range clients {
+		clients[i], err = net.Dial("udp", p.Addr().String())
+		require.NoError(t, err)
+		defer func() { require.NoError(t, clients[i].Close()) }()
+	}
+	ordered := exchange(t, clients[0], 50, 50)
+	require.True(t, slices.IsSorted(ordered))
+
+	p.Set(Upstream, Toxics{Reordering: 0.5, ReorderingDelay: 20 * time.Millisecond, Bandwidth: 0})
+	reordered := exchange(t, clients[0], 50, 50)
+	require.False(t, slices.IsSorted(reordered))
+	slices.Sort(reordered)
+	require.Equal(t, ordered, reordered)
+
+	p.Set(Upstream, Toxics{})
+	p.Set(Downstream, Toxics{Duplication: 1, Bandwidth: 1 << 20})
+	require.Equal(t, []byte{0, 0, 1, 1}, exchange(t, clients[1], 2, 4))
+
+	for _, toxics := range []Toxics{{Loss: 1}, {Cut: true}} {
+		p.Set(Downstream, toxics)
+		exchange(t, clients[0], 2, 0)
+		require.NoError(t, clients[0].SetReadDeadline(time.Now().Add(silence)))
+		_, err = clients[0].Read(make([]byte, 10))
+		require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	}
+}
+
+// Guards against goroutines that outlive Close, with connections open, cut and not yet connected.
+func TestCloseEndsAllGoroutines(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	t.Run("tcp", func(t *testing.T) {
+		p, client, _ := connection(t)
+		p.Blackhole(true)
+		_, err := client.Write(make([]byte, 1000))
+		require.NoError(t, err)
+		waiting, err := net.Dial("tcp", p.Addr().String())
+		require.NoError(t, err)
+		defer func() { _ = waiting.Close() }()
+		require.NoError(t, p.Close())
+		require.NoError(t, p.Close())
+	})
+	t.Run("udp", TestUDPToxics)
+}
