balancer: chooser, key sketch and planner of range moves

The planner computes the gifts to new members from the state alone, so all owners agree without talking. For load it pairs the most loaded owner with the least loaded target, waits for a target's report after it got ranges, and moves several ranges in one record: one range at a time was tried and ruled out, since with 100 ranges per owner no single range improves the maximum by the threshold.

--- /dev/null
+++ b/balancer/candidate.go
@@ -0,0 +1,82 @@
+package balancer
+
+import (
+	"time"
+
+	"hibiscusline/applier"
+)
+
+//go:generate go tool stringer -type=Policy,Outcome -linecomment -output=names.go
+
+// Policy is the way in which a Chooser picks. The policies other than TwoChoices are baselines for measurements.
+type Policy uint8
+
+// Policies.
+const (
+	TwoChoices   Policy = iota // two_choices
+	RoundRobin                 // round_robin
+	ReportedLoad               // reported_load
+)
+
+// MarshalText writes the policy's name.
+func (p Policy) MarshalText() ([]byte, error) { return []byte(p.String()), nil }
+
+// Outcome is the end of one request.
+type Outcome uint8
+
+// Outcomes. Shed means that the member refused the request because it is busy.
+const (
+	Success Outcome = iota // success
+	Failure                // failure
+	Shed                   // shed
+	Timeout                // timeout
+)
+
+// MarshalText writes the outcome's name.
+func (o Outcome) MarshalText() ([]byte, error) { return []byte(o.String()), nil }
+
+// Candidate is a member that may get a request.
+type Candidate struct {
+	ID    applier.MemberID
+	Zone  string
+	Slots int
+	// Joined is the time since the member was first seen.
+	Joined time.Duration
+	// ReportedInFlight is the number of requests that the member reported, and ReportAge the age of that report.
+	ReportedInFlight int
+	ReportAge        time.Duration
+}
+
+// ChooserConfig configures a Chooser. Zero durations take the defaults.
+type ChooserConfig struct {
+	Policy Policy
+	Seed   uint64
+	// RampUp is the time in which a new member's share of requests grows to that of the others.
+	RampUp time.Duration
+	// FrozenAfter is the time without any finished request after which a member with requests in flight is ejected.
+	FrozenAfter time.Duration
+}
+
+// Limits of a Chooser.
+const (
+	DefaultRampUp      = 10 * time.Second
+	DefaultFrozenAfter = time.Second
+	// leastRamp is the share of its samples that a member accepts from the start.
+	leastRamp = 0.1
+	// reportWeight bounds what a load report adds to how busy a member looks, as a share of its slots. Reports lag and
+	// mislead, so a wrong one may shift requests but neither attract nor repel all of them.
+	reportWeight = 0.25
+	// reportLife is the age at which a report counts for nothing.
+	reportLife = 2 * time.Second
+	// forgetAfter is the time after which an unseen member without requests in flight is forgotten.
+	forgetAfter = time.Minute
+)
+
+// hint is what a candidate's load report adds to how busy it looks.
+func (c Candidate) hint(inFlight int) float64 {
+	if c.ReportAge < 0 || c.ReportAge >= reportLife || c.ReportedInFlight <= inFlight {
+		return 0
+	}
+	others := float64(c.ReportedInFlight-inFlight) / float64(max(c.Slots, 1))
+	return reportWeight * min(others, 1) * (1 - float64(c.ReportAge)/float64(reportLife))
+}
--- /dev/null
+++ b/balancer/chooser_test.go
@@ -0,0 +1,189 @@
+package balancer
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"hibiscusline/applier"
+)
+
+// server is a backend server of a simulation in virtual time. Service time grows with the requests that it holds.
+type server struct {
+	service time.Duration
+	fails   bool
+	frozen  bool
+	picked  int
+}
+
+type flight struct {
+	id      applier.MemberID
+	started time.Duration
+	ends    time.Duration
+	outcome Outcome
+}
+
+// runServers sends 1000 requests/s for some seconds and returns the number of requests that failed or timed out.
+func runServers(c *Chooser, servers []*server, candidates []Candidate, seconds int, each func()) (bad int) {
+	random := rand.New(rand.NewPCG(3, 4))
+	var flights []flight
+	now := max(c.now, time.Hour)
+	for range seconds * 1000 {
+		now += time.Millisecond
+		left := flights[:0]
+		for _, f := range flights {
+			if f.ends > now {
+				left = append(left, f)
+				continue
+			}
+			if f.outcome != Success {
+				bad++
+			}
+			c.Finished(now, f.id, f.outcome, now-f.started)
+		}
+		flights = left
+		id, found := c.Pick(now, candidates, "a")
+		if !found {
+			continue
+		}
+		s := servers[id-1]
+		s.picked++
+		c.Started(id)
+		f := flight{id: id, started: now, ends: now + time.Duration(random.ExpFloat64()*float64(s.service))}
+		switch {
+		case s.frozen:
+			f.ends, f.outcome = now+2*time.Second, Timeout
+		case s.fails:
+			f.ends, f.outcome = now+time.Millisecond, Failure
+		}
+		flights = append(flights, f)
+		each()
+	}
+	for _, f := range flights {
+		c.Finished(f.ends, f.id, f.outcome, f.ends-f.started)
+	}
+	return bad
+}
+
+func fleet(count int) ([]*server, []Candidate) {
+	servers, candidates := make([]*server, count), make([]Candidate, count)
+	for i := range servers {
+		servers[i] = &server{service: 10 * time.Millisecond}
+		candidates[i] = Candidate{ID: applier.MemberID(i + 1), Zone: string(rune('a' + i%3)), Slots: 12, Joined: time.Hour}
+	}
+	return servers, candidates
+}
+
+// TestOutliers guards against a member that fails fast, is slow or freezes and still gets its share of requests, and
+// against ejections of more than a third.
+func TestOutliers(t *testing.T) {
+	for name, spoil := range map[string]func(*server){
+		"failing": func(s *server) { s.fails = true },
+		"slow":    func(s *server) { s.service = 200 * time.Millisecond },
+		"frozen":  func(s *server) { s.frozen = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, spoiled := range []int{1, 2, 5} {
+				servers, candidates := fleet(6)
+				c := NewChooser(ChooserConfig{Seed: 5})
+				runServers(c, servers, candidates, 5, func() {})
+				for _, s := range servers {
+					s.picked = 0
+				}
+				for _, s := range servers[:spoiled] {
+					spoil(s)
+				}
+				most := 0
+				bad := runServers(c, servers, candidates, 60, func() { most = max(most, len(c.ejected)) })
+				t.Logf("%d spoiled: %d of 60000 bad, first picked %d times", spoiled, bad, servers[0].picked)
+				require.LessOrEqual(t, most, 2)
+				if spoiled <= 2 {
+					require.Less(t, servers[0].picked, 600, "an outlier got more than 1%% of the requests")
+				}
+				for _, s := range servers {
+					s.fails, s.frozen, s.service, s.picked = false, false, 10*time.Millisecond, 0
+				}
+				runServers(c, servers, candidates, 200, func() {})
+				require.Empty(t, c.ejected, "a healthy member stays ejected")
+			}
+		})
+	}
+}
+
+// TestReportsAreHints guards against load reports that attract or repel all requests.
+func TestReportsAreHints(t *testing.T) {
+	servers, candidates := fleet(4)
+	for i := range candidates {
+		candidates[i].Zone = "a"
+	}
+	candidates[0].ReportedInFlight = 100000
+	c := NewChooser(ChooserConfig{})
+	for range 400 {
+		id, _ := c.Pick(time.Hour, candidates, "a")
+		servers[id-1].picked++
+		c.Started(id)
+	}
+	require.Greater(t, servers[0].picked, 85, "a wrong report shifts at most a part of the slots")
+	require.Less(t, servers[0].picked, 101)
+}
+
+// TestRamp guards against a cold member that gets its full share at once, or none.
+func TestRamp(t *testing.T) {
+	servers, candidates := fleet(4)
+	candidates[0].Joined = time.Second
+	runServers(NewChooser(ChooserConfig{}), servers, candidates, 10, func() {})
+	require.Less(t, servers[0].picked, servers[3].picked)
+	require.Greater(t, servers[0].picked, servers[3].picked/50)
+}
+
+// TestZones guards against requests that leave the zone although it is idle, and against a zone that is overloaded while
+// others are idle.
+func TestZones(t *testing.T) {
+	_, candidates := fleet(6)
+	c, here := NewChooser(ChooserConfig{}), 0
+	for i := range 600 {
+		id, _ := c.Pick(time.Hour, candidates, "a")
+		if candidates[id-1].Zone == "a" {
+			here++
+		}
+		if i >= 300 {
+			c.Started(id)
+			continue
+		}
+		require.Equal(t, i+1, here)
+	}
+	for _, candidate := range candidates {
+		require.InDelta(t, 50, c.InFlight(candidate.ID), 5)
+	}
+}
+
+// TestChooserProperties guards against picks that aren't candidates, ejections beyond a third, and memory that grows with
+// members that are gone.
+func TestChooserProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := NewChooser(ChooserConfig{Policy: Policy(rapid.IntRange(0, 2).Draw(t, "policy"))})
+		var now time.Duration
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "pause")) * time.Millisecond
+			first := rapid.IntRange(0, 40).Draw(t, "first")
+			_, all := fleet(first + 6)
+			candidates := all[first : first+rapid.IntRange(0, 6).Draw(t, "count")]
+			id, found := c.Pick(now, candidates, "a")
+			require.Equal(t, len(candidates) > 0, found)
+			if !found {
+				continue
+			}
+			require.Contains(t, candidates, all[id-1])
+			c.Started(id)
+			out := len(c.ejected)
+			c.Finished(now, id, Outcome(rapid.IntRange(0, 3).Draw(t, "outcome")), time.Millisecond)
+			require.True(t, len(c.ejected) <= out || len(c.ejected)*3 <= len(candidates))
+		}
+		_, one := fleet(1)
+		c.Pick(now+2*forgetAfter, one, "a")
+		require.LessOrEqual(t, len(c.members), 2)
+	})
+}
--- /dev/null
+++ b/balancer/planner_test.go
@@ -0,0 +1,261 @@
+package balancer
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"hibiscusline/applier"
+	"hibiscusline/hasher"
+	"hibiscusline/validator"
+)
+
+// cluster is a simulated service in virtual time: real records on a real state, keys with fixed rates, and load reports
+// that lag and err.
+type cluster struct {
+	state    *applier.State
+	random   *rand.Rand
+	keys     map[hasher.Position]float64
+	planners map[applier.MemberID]*Planner
+	reported map[applier.MemberID]float64
+	now      time.Duration
+	moved    int
+	splits   int
+}
+
+func newCluster(members, ranges, movesPerMinute int, seed uint64) *cluster {
+	c := &cluster{
+		state: &applier.State{}, random: rand.New(rand.NewPCG(seed, 0)), keys: map[hasher.Position]float64{},
+		planners: map[applier.MemberID]*Planner{}, reported: map[applier.MemberID]float64{}, now: time.Hour,
+	}
+	for range members {
+		c.join()
+	}
+	c.apply(applier.Propose{Author: "op", Configuration: validator.Configuration{
+		Services: map[string]validator.Service{"stock": {
+			Keyed: true, InitialRanges: ranges, MaxRequest: validator.Duration(time.Second), Placement: "p",
+			IdempotencyWindow: validator.Duration(time.Minute),
+		}},
+		Ranks:      map[string]validator.Rank{"stock": {Target: validator.Duration(time.Second)}},
+		Rules:      []validator.Rule{{Name: "all", Service: "stock", Rank: "stock"}},
+		Placements: map[string]validator.Placement{"p": {MaxMovesPerMinute: movesPerMinute}},
+		Policy:     validator.Policy{Operators: []string{"op"}},
+	}})
+	return c
+}
+
+func (c *cluster) join() applier.MemberID {
+	id := applier.MemberID(c.random.Uint64() | 1)
+	c.apply(applier.Join{Member: applier.Member{ID: id, Service: "stock", Slots: 12, Zone: "a"}})
+	c.planners[id] = NewPlanner(PlannerConfig{})
+	return id
+}
+
+func (c *cluster) apply(r applier.Record) {
+	offset := c.state.Applied + 1
+	result := c.state.Apply(offset, applier.Envelope{ID: fmt.Sprint(offset), Record: r})
+	if !result.Accepted {
+		panic(result.Reason)
+	}
+}
+
+// loads returns what each owner knows: the rates of its ranges with an error of 2%, its hottest keys, and reports.
+func (c *cluster) loads() map[applier.MemberID]Loads {
+	all := map[applier.MemberID]Loads{}
+	for id := range c.planners {
+		all[id] = Loads{Ranges: map[hasher.Range]float64{}, Members: map[applier.MemberID]MemberLoad{}}
+		for other, rate := range c.reported {
+			all[id].Members[other] = MemberLoad{Rate: rate, Age: 2 * time.Second}
+		}
+	}
+	for _, p := range slices.Sorted(maps.Keys(c.keys)) {
+		a, _ := c.state.Lookup("stock", p)
+		l := all[a.Owner]
+		l.Ranges[a.Range] += c.keys[p] * (0.98 + 0.04*c.random.Float64())
+		l.Keys = append(l.Keys, KeyRate{Position: p, Rate: c.keys[p]})
+		all[a.Owner] = l
+	}
+	for _, l := range all {
+		slices.SortFunc(l.Keys, func(x, y KeyRate) int { return cmp.Compare(y.Rate, x.Rate) })
+	}
+	return all
+}
+
+// run lets every owner plan once a second, all on the state of that second, as readers that lag do.
+func (c *cluster) run(seconds int) {
+	for i := range seconds {
+		c.now += time.Second
+		if i%5 == 0 {
+			c.report()
+		}
+		var proposals []Proposal
+		loads := c.loads()
+		for _, m := range c.state.MembersOf("stock") {
+			proposals = append(proposals, c.planners[m.ID].Plan(c.now, c.state, m.ID, loads[m.ID])...)
+		}
+		for _, proposal := range proposals {
+			switch proposal := proposal.(type) {
+			case MoveRanges:
+				c.moved += len(proposal.Move.Ranges)
+				c.apply(proposal.Move)
+			case SplitRange:
+				c.splits++
+				c.apply(proposal.Split)
+			}
+		}
+	}
+}
+
+func (c *cluster) report() {
+	rates := c.rates()
+	for _, id := range slices.Sorted(maps.Keys(rates)) {
+		c.reported[id] = rates[id] * (0.98 + 0.04*c.random.Float64())
+	}
+}
+
+func (c *cluster) rates() map[applier.MemberID]float64 {
+	rates := map[applier.MemberID]float64{}
+	for _, m := range c.state.MembersOf("stock") {
+		rates[m.ID] = 0
+	}
+	for _, p := range slices.Sorted(maps.Keys(c.keys)) {
+		a, _ := c.state.Lookup("stock", p)
+		rates[a.Owner] += c.keys[p]
+	}
+	return rates
+}
+
+func (c *cluster) imbalance() float64 {
+	highest, sum := 0.0, 0.0
+	rates := c.rates()
+	for _, id := range slices.Sorted(maps.Keys(rates)) {
+		highest, sum = max(highest, rates[id]), sum+rates[id]
+	}
+	return highest / sum * float64(len(rates))
+}
+
+func (c *cluster) spread(keys int, rate float64) {
+	for i := range keys {
+		c.keys[hasher.KeyPosition(fmt.Sprint("key", i))] = rate / float64(keys)
+	}
+}
+
+// TestJoin guards against a new member that gets no work, more than its fair share, or ranges that move without need.
+func TestJoin(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members, ranges := rapid.IntRange(1, 12).Draw(t, "members"), rapid.IntRange(12, 120).Draw(t, "ranges")
+		c := newCluster(members, ranges, 60, rapid.Uint64().Draw(t, "seed"))
+		c.run(2)
+		require.Zero(t, c.moved)
+		joins := rapid.IntRange(1, 3).Draw(t, "joins")
+		for range joins {
+			c.join()
+		}
+		c.run(10)
+		total := members + joins
+		require.LessOrEqual(t, c.moved, joins*(ranges/total))
+		for _, m := range c.state.MembersOf("stock") {
+			require.GreaterOrEqual(t, len(c.state.Owned(m.ID)), ranges/total)
+		}
+	})
+}
+
+// TestConvergence guards against load that stays uneven, and against ranges that move on although load doesn't change.
+func TestConvergence(t *testing.T) {
+	for _, shape := range []struct {
+		name  string
+		keys  func(c *cluster)
+		limit float64
+	}{
+		{"even", func(*cluster) {}, 1.15},
+		{"hot key", func(c *cluster) { c.keys[hasher.KeyPosition("bolt")] = 1000 }, 1.15},
+		{"three hot keys", func(c *cluster) {
+			for i := range 3 {
+				c.keys[hasher.KeyPosition(fmt.Sprint("mallet", i))] = 600
+			}
+		}, 1.15},
+		{"zipf", func(c *cluster) {
+			for i := range 500 {
+				c.keys[hasher.KeyPosition(fmt.Sprint("zipf", i))] = 1000 / float64(i+1)
+			}
+		}, 1.15},
+		// Twice the mean is the optimum, since the key alone is that much.
+		{"a key above the fair share", func(c *cluster) { c.keys[hasher.KeyPosition("bolt")] = 3000 }, 2 + leastImprovement},
+	} {
+		for seed := range uint64(3) {
+			c := newCluster(6, []int{64, 64, 600}[seed%3], 6, seed)
+			c.spread(600, 6000)
+			shape.keys(c)
+			before := c.imbalance()
+			c.run(300)
+			moved, splits := c.moved, c.splits
+			t.Logf("%s: imbalance %.2f before, %.2f after, %d moved, %d split", shape.name, before, c.imbalance(), moved, splits)
+			require.LessOrEqual(t, c.imbalance(), shape.limit)
+			c.run(120)
+			require.LessOrEqual(t, c.moved-moved, 1, "ranges move on although the load is steady")
+			require.LessOrEqual(t, c.splits-splits, 1)
+		}
+	}
+}
+
+// TestMovesPerMinute guards against more moves than the placement rule allows, and any at zero.
+func TestMovesPerMinute(t *testing.T) {
+	for _, limit := range []int{0, 1, 3} {
+		c := newCluster(2, 64, limit, 1)
+		c.spread(50, 100)
+		c.keys[hasher.KeyPosition("bolt")] = 500
+		c.join()
+		for id := range c.planners {
+			c.planners[id] = NewPlanner(PlannerConfig{})
+		}
+		for range 120 {
+			c.run(1)
+			for _, p := range c.planners {
+				require.LessOrEqual(t, len(p.moves), limit)
+			}
+		}
+		require.Equal(t, limit > 0, c.moved > 0)
+	}
+}
+
+// TestSketch guards against hot keys that are missed, rates that are wrong or don't follow the load, and growing memory.
+func TestSketch(t *testing.T) {
+	s, random := NewSketch(time.Hour, SketchConfig{Keys: 64}), rand.New(rand.NewPCG(1, 1))
+	halves := hasher.Divide(2)
+	s.SetRanges(halves)
+	hot := hasher.KeyPosition("bolt")
+	feed := func(from time.Duration, seconds, hotRate int) {
+		for second := range seconds {
+			for i := range 2000 {
+				if i < hotRate {
+					s.Observe(hot)
+					continue
+				}
+				s.Observe(hasher.Position(random.Uint64()))
+			}
+			s.Advance(from + time.Duration(second+1)*time.Second)
+		}
+	}
+	feed(time.Hour, 60, 400)
+	require.Equal(t, hot, s.Top(1)[0].Position)
+	require.InDelta(t, 400, s.Top(1)[0].Rate, 40)
+	require.InDelta(t, 2000, s.Rate(), 100)
+	require.InDelta(t, 2000, s.RangeRate(halves[0])+s.RangeRate(halves[1]), 100)
+	parts := append(halves[:1:1], halves[1].SplitAt(hot)...)
+	if halves[0].Contains(hot) {
+		parts = append(halves[0].SplitAt(hot), halves[1])
+	}
+	s.SetRanges(parts)
+	require.InDelta(t, 400, s.RangeRate(hasher.Range{Low: hot, High: hot}), 60, "a split must not lose the counts")
+	feed(2*time.Hour, 60, 0)
+	require.Less(t, s.RangeRate(hasher.Range{Low: hot, High: hot}), 40.0)
+	require.LessOrEqual(t, len(s.keys), 64)
+	require.Len(t, s.index, len(s.keys))
+}
