--- a/leaser/machine.go
+++ b/leaser/machine.go
@@ -136,7 +136,8 @@
 }
 
 // ValidUntil returns until when this process may serve as owner, by its own clock. It is Forever for a member that no
-// record can take over, and zero when the state doesn't have the member.
+// record can take over, and zero when the state doesn't have the member. A proposal counts from the step that appends it:
+// the record may land, and its guardians may attest, long before this process applies it.
 func (m *Machine) ValidUntil() time.Duration {
 	if !m.present {
 		return 0
--- a/leaser/message.go
+++ b/leaser/message.go
@@ -84,15 +84,21 @@
 	Reason   Reason           `cbor:"5,keyasint,omitempty"`
 }
 
-// wireOptions keep the member id an integer; its text form would take twice the bytes.
-var wireOptions = cbor.EncOptions{Sort: cbor.SortCoreDeterministic, TextMarshaler: cbor.TextMarshalerNone}
+var encoder = mustEncoder()
 
-// EncodeMessage returns the CBOR form of a message.
-func EncodeMessage(message Message) ([]byte, error) {
-	mode, err := wireOptions.EncMode()
+// mustEncoder keeps the member id an integer; its text form would take twice the bytes.
+func mustEncoder() cbor.EncMode {
+	options := cbor.CoreDetEncOptions()
+	options.TextMarshaler = cbor.TextMarshalerNone
+	mode, err := options.EncMode()
 	if err != nil {
-		return nil, errors.Wrap(err, "message encoder")
+		panic(err)
 	}
+	return mode
+}
+
+// EncodeMessage returns the CBOR form of a message.
+func EncodeMessage(message Message) ([]byte, error) {
 	w := wire{Kind: message.kind()}
 	switch v := message.(type) {
 	case Renew:
@@ -106,7 +112,7 @@
 	case Attestation:
 		w.Member, w.Version = v.Member, v.Version
 	}
-	data, err := mode.Marshal(w)
+	data, err := encoder.Marshal(w)
 	return data, errors.Wrapf(err, "encode %s", w.Kind)
 }
 
