daemon: chooser, key sketch and planner of package balancer wired in

Cause: the daemon chose members by its own two-sample rule and never balanced ranges; entries remembered one threshold of refused ranks, which would refuse ranks that have floors in a flood of the most urgent one. Change: daemon/balance.go and choose.go, hints by rank, list of active members cached per applied offset.

--- a/daemon/admin.go
+++ b/daemon/admin.go
@@ -110,9 +110,12 @@
 
 func (d *Daemon) dump() Dump {
 	dump := Dump{
-		Status: d.status(), Uptime: time.Since(d.started).String(), Ready: d.state.Ready(), Loads: d.knownLoads(),
+		Status: d.status(), Uptime: time.Since(d.started).String(), Ready: d.state.Ready(), Loads: map[applier.MemberID]encoder.Load{},
 		Goroutines: runtime.NumGoroutine(), Peers: d.transport.Connections(),
 	}
+	for id, l := range d.reports() {
+		dump.Loads[id] = l.load
+	}
 	if n := d.incarnation(); n != nil {
 		load := n.dispatcher.Load()
 		dump.Load, dump.InFlight, dump.Admission = &load, n.dispatcher.InFlight(), n.dispatcher.Admission()
@@ -140,20 +143,28 @@
 // loadLifetime is how long a report of another member's load counts.
 const loadLifetime = 5 * time.Second
 
-func (d *Daemon) knownLoads() map[applier.MemberID]encoder.Load {
+// reports returns the recent load reports of other members.
+func (d *Daemon) reports() map[applier.MemberID]memberLoad {
 	d.loadsMu.Lock()
 	defer d.loadsMu.Unlock()
-	known := map[applier.MemberID]encoder.Load{}
+	known := make(map[applier.MemberID]memberLoad, len(d.loads))
 	for id, l := range d.loads {
 		if time.Since(l.at) > loadLifetime {
 			delete(d.loads, id)
 			continue
 		}
-		known[id] = l.load
+		known[id] = l
 	}
 	return known
 }
 
+func (d *Daemon) reportOf(id applier.MemberID) (memberLoad, bool) {
+	d.loadsMu.Lock()
+	defer d.loadsMu.Unlock()
+	l, known := d.loads[id]
+	return l, known
+}
+
 func (d *Daemon) registerGauges() {
 	d.metrics.NewGauge("hibiscus_applied_offset", func() float64 { return float64(d.state.Applied()) })
 	d.metrics.NewGauge("hibiscus_connections", func() float64 { return float64(d.transport.Connections()) })
--- a/daemon/choose.go
+++ b/daemon/choose.go
@@ -2,11 +2,13 @@
 
 import (
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
 
 	"hibiscusline/applier"
+	"hibiscusline/balancer"
 	"hibiscusline/encoder"
 	"hibiscusline/retrier"
 	"hibiscusline/timer"
@@ -20,11 +22,11 @@
 
 func newBudget() *budget { return &budget{budget: retrier.NewBudget(retrier.Config{})} }
 
-// Sent counts a first try.
-func (b *budget) Sent() {
+// Observe counts the end of a first try.
+func (b *budget) Observe(success bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.budget.Observe(true)
+	b.budget.Observe(success)
 }
 
 // Retry takes one retry from the budget.
@@ -49,14 +51,23 @@
 	}
 }
 
-// chooser picks the member with fewer requests of this process in flight out of two sampled ones.
+// chooser shares a balancer.Chooser between requests.
 type chooser struct {
-	zone string
-	mu   sync.Mutex
-	busy map[applier.MemberID]int
+	zone    string
+	reports func(applier.MemberID) (memberLoad, bool)
+
+	mu      sync.Mutex
+	chooser *balancer.Chooser
+	// seen holds the time since which each member is known. Members that are known from the start count as warm.
+	seen map[applier.MemberID]time.Duration
 }
 
-func newChooser(zone string) *chooser { return &chooser{zone: zone, busy: map[applier.MemberID]int{}} }
+func newChooser(zone string, reports func(applier.MemberID) (memberLoad, bool)) *chooser {
+	return &chooser{
+		zone: zone, reports: reports, chooser: balancer.NewChooser(balancer.ChooserConfig{Seed: rand.Uint64()}),
+		seen: map[applier.MemberID]time.Duration{},
+	}
+}
 
 // Pick implements router.Chooser.
 func (c *chooser) Pick(members []applier.Member, avoid []applier.MemberID) (applier.MemberID, bool) {
@@ -64,30 +75,64 @@
 	if len(fresh) == 0 {
 		fresh = members
 	}
-	if len(fresh) == 0 {
-		return 0, false
-	}
+	now := timer.Now()
+	candidates := make([]balancer.Candidate, len(fresh))
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	a, b := fresh[rand.IntN(len(fresh))], fresh[rand.IntN(len(fresh))]
-	if c.busy[b.ID] < c.busy[a.ID] {
-		return b.ID, true
+	for i, m := range fresh {
+		candidates[i] = balancer.Candidate{ID: m.ID, Zone: m.Zone, Slots: m.Slots, Joined: now - c.firstSeen(m.ID, now), ReportAge: -1}
+		if report, known := c.reports(m.ID); known {
+			candidates[i].ReportedInFlight = report.load.Running + report.load.Queued
+			candidates[i].ReportAge = time.Since(report.at)
+		}
 	}
-	return a.ID, true
+	return c.chooser.Pick(now, candidates, c.zone)
+}
+
+// maxSeen bounds the memory for members that have left.
+const maxSeen = 1 << 16
+
+func (c *chooser) firstSeen(id applier.MemberID, now time.Duration) time.Duration {
+	if at, known := c.seen[id]; known {
+		return at
+	}
+	if len(c.seen) >= maxSeen {
+		clear(c.seen)
+	}
+	at := now
+	if len(c.seen) == 0 {
+		at = 0
+	}
+	c.seen[id] = at
+	return at
 }
 
 // Started implements router.Chooser.
 func (c *chooser) Started(id applier.MemberID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.busy[id]++
+	c.chooser.Started(id)
 }
 
 // Finished implements router.Chooser.
-func (c *chooser) Finished(id applier.MemberID, _ encoder.Response, _ time.Duration) {
+func (c *chooser) Finished(id applier.MemberID, r encoder.Response, latency time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.busy[id]--; c.busy[id] <= 0 {
-		delete(c.busy, id)
+	c.chooser.Finished(timer.Now(), id, outcomeOf(r), latency)
+}
+
+// outcomeOf judges a member by what became of a request there.
+func outcomeOf(r encoder.Response) balancer.Outcome {
+	switch {
+	case r.Outcome == encoder.Answered && r.Status == http.StatusServiceUnavailable, r.Reason == encoder.Overloaded:
+		return balancer.Shed
+	case r.Outcome == encoder.Answered && r.Status < http.StatusInternalServerError:
+		return balancer.Success
+	case r.Reason == encoder.DeadlineExceeded:
+		return balancer.Timeout
+	case r.Outcome == encoder.NotRun && (r.Reason == encoder.Poison || r.Reason == encoder.Cancelled):
+		// The request is to blame, not the member.
+		return balancer.Success
 	}
+	return balancer.Failure
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -89,7 +89,7 @@
 		stopped: make(chan struct{}),
 	}
 	d.router = router.New(router.Config{
-		State: d.state, Exchanger: (*exchanger)(d), Chooser: newChooser(c.Settings.Zone), Budget: newBudget(),
+		State: d.state, Exchanger: (*exchanger)(d), Chooser: newChooser(c.Settings.Zone, d.reportOf), Budget: newBudget(),
 		Backoff: newBackoff(), Parents: d.parent, DefaultTimeout: c.Settings.Limits.DefaultTimeout,
 		ReplayLimit: c.Settings.Limits.ReplayLimit, Metrics: d.metrics,
 	})
@@ -118,7 +118,7 @@
 	}
 	background, cancel := context.WithCancel(context.Background())
 	d.registerGauges()
-	for _, task := range []func(context.Context){d.followLog, d.followPeers, d.watchState, d.tickLease, d.tickAdmission, d.watchBackend, d.keepCheckpoints} {
+	for _, task := range []func(context.Context){d.followLog, d.followPeers, d.watchState, d.tickLease, d.tickAdmission, d.tickBalance, d.watchBackend, d.keepCheckpoints} {
 		d.tasks.Go(func() { task(background) })
 	}
 	d.log("state", "started", "listen", d.config.Settings.Listen, "quic", d.transport.Address())
--- a/daemon/member.go
+++ b/daemon/member.go
@@ -21,6 +21,7 @@
 	id         applier.MemberID
 	server     announcement
 	dispatcher *dispatcher.Dispatcher
+	ranges     *ranges
 	joined     time.Time
 
 	mu      sync.Mutex
@@ -55,10 +56,16 @@
 
 // join makes this process a member for the backend server that announced itself.
 func (d *Daemon) join(a announcement) {
-	n := &incarnation{id: newMemberID(), server: a, joined: time.Now()}
+	n := &incarnation{id: newMemberID(), server: a, ranges: newRanges(), joined: time.Now()}
 	n.machine = leaser.New(leaser.Config{Self: n.id})
 	var ranks []admitter.Rank
-	d.state.View(func(s *applier.State) { ranks = ranksOf(s) })
+	var nestedShare float64
+	d.state.View(func(s *applier.State) {
+		ranks = ranksOf(s)
+		if s.Configuration != nil {
+			nestedShare = s.Configuration.Services[a.Service].NestedShare
+		}
+	})
 	n.dispatcher = dispatcher.New(dispatcher.Config{
 		State: d.state, Lease: n, Self: func() applier.MemberID { return n.id },
 		Replicator: &replicator{daemon: d, incarnation: n}, Service: a.Service,
@@ -66,6 +73,7 @@
 		Connections: a.Connections, Metrics: d.metrics, Report: d.reportSuspects,
 		Fetched: func(epoch applier.Offset) bool { _, done := n.fetched.Load(epoch); return done },
 	})
+	n.dispatcher.Observe(n.ranges.observe)
 	n.dispatcher.SetBackend(a.Address, a.Slots)
 	if !d.enter(n) {
 		return
@@ -86,9 +94,6 @@
 	return true
 }
 
-// nestedShare is the share of slots that only nested calls may use.
-const nestedShare = 0.1
-
 func (d *Daemon) commitJoin(n *incarnation) {
 	ctx, cancel := d.background()
 	defer cancel()
--- a/daemon/move.go
+++ b/daemon/move.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -9,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"hibiscusline/applier"
+	"hibiscusline/balancer"
 	"hibiscusline/deduper"
 	"hibiscusline/encoder"
 	"hibiscusline/hasher"
@@ -191,7 +191,8 @@
 func (d *Daemon) handOver(ctx context.Context, n *incarnation) error {
 	const retry = 100 * time.Millisecond
 	for {
-		groups := d.groupsFor(n)
+		var groups []balancer.MoveRanges
+		d.state.View(func(s *applier.State) { groups = balancer.Evacuate(s, n.id) })
 		if len(groups) == 0 {
 			if len(d.ownedRanges(n)) > 0 {
 				d.log("state", "no member can take the ranges", "member", n.id)
@@ -199,8 +200,8 @@
 			return nil
 		}
 		results := make(chan error, len(groups))
-		for to, ranges := range groups {
-			go func() { results <- d.move(ctx, n, to, ranges) }()
+		for _, g := range groups {
+			go func() { results <- d.move(ctx, n, g.Move.To, g.Move.Ranges) }()
 		}
 		failed := false
 		for range groups {
@@ -230,35 +231,6 @@
 	return owned
 }
 
-// groupsFor divides the ranges of a leaving member among the active members of its service, fewest ranges first.
-func (d *Daemon) groupsFor(n *incarnation) map[applier.MemberID][]applier.RangeEpoch {
-	owned := d.ownedRanges(n)
-	counts := map[applier.MemberID]int{}
-	var candidates []applier.MemberID
-	d.state.View(func(s *applier.State) {
-		for _, m := range s.MembersOf(n.server.Service) {
-			if m.Status == applier.Active && m.ID != n.id {
-				candidates = append(candidates, m.ID)
-			}
-		}
-		for _, a := range s.Assignments[n.server.Service] {
-			counts[a.Owner]++
-		}
-	})
-	groups := map[applier.MemberID][]applier.RangeEpoch{}
-	if len(candidates) == 0 {
-		return groups
-	}
-	for _, r := range owned {
-		to := slices.MinFunc(candidates, func(a, b applier.MemberID) int {
-			return cmp.Or(cmp.Compare(counts[a], counts[b]), cmp.Compare(a, b))
-		})
-		counts[to]++
-		groups[to] = append(groups[to], r)
-	}
-	return groups
-}
-
 // awaitReplacement waits a bounded time until no member counts on this one as its guardian.
 func (d *Daemon) awaitReplacement(ctx context.Context, n *incarnation) {
 	const bound = 2 * time.Second
--- a/router/forward.go
+++ b/router/forward.go
@@ -37,6 +37,9 @@
 		if sent {
 			response, body = rt.attempt(ctx, c, m)
 		}
+		if attempt == 0 {
+			rt.config.Budget.Observe(response.Outcome == encoder.Answered)
+		}
 		if response.Outcome == encoder.Answered && !retriableAnswer(c, response) {
 			return response, body
 		}
@@ -122,18 +125,22 @@
 	}
 	ctx, release := rt.removed.watch(ctx, rt.config.State, m.ID)
 	started := time.Now()
-	rt.config.Chooser.Started(m.ID)
+	if !c.head.Keyed {
+		rt.config.Chooser.Started(m.ID)
+	}
 	response, body := rt.config.Exchanger.Exchange(ctx, m, head, reader)
-	rt.hints.learn(m.ID, response, time.Now())
-	if body == nil {
+	rt.hints.learn(m.ID, c.rank.Urgency, response, time.Now())
+	done := func() {
 		release()
-		rt.config.Chooser.Finished(m.ID, response, time.Since(started))
+		if !c.head.Keyed {
+			rt.config.Chooser.Finished(m.ID, response, time.Since(started))
+		}
+	}
+	if body == nil {
+		done()
 		return response, nil
 	}
-	return response, &observedBody{ResponseBody: body, done: func() {
-		release()
-		rt.config.Chooser.Finished(m.ID, response, time.Since(started))
-	}}
+	return response, &observedBody{ResponseBody: body, done: done}
 }
 
 // observedBody reports when an answer has been read.
--- a/router/router.go
+++ b/router/router.go
@@ -30,8 +30,8 @@
 
 // Budget limits retries. Its methods are safe for concurrent use.
 type Budget interface {
-	// Sent counts a first try.
-	Sent()
+	// Observe counts the end of a first try.
+	Observe(success bool)
 	// Retry takes one retry from the budget and reports whether there was one.
 	Retry() bool
 }
@@ -64,6 +64,8 @@
 	config  Config
 	hints   hints
 	removed removals
+	// directory lists the active members of each service.
+	directory directory
 }
 
 // New returns a router.
@@ -86,7 +88,6 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
-	rt.config.Budget.Sent()
 	response, body := rt.forward(ctx, c)
 	rt.count(c, response)
 	if response.Outcome != encoder.Answered {
@@ -134,14 +135,7 @@
 	if c.head.Keyed {
 		return rt.owner(c.head.Service, c.head.At)
 	}
-	var members []applier.Member
-	rt.config.State.View(func(s *applier.State) {
-		for _, m := range s.MembersOf(c.head.Service) {
-			if m.Status == applier.Active {
-				members = append(members, *m)
-			}
-		}
-	})
+	members := rt.directory.active(rt.config.State, c.head.Service)
 	id, found := rt.config.Chooser.Pick(members, tried)
 	if !found {
 		return applier.Member{}, encoder.NoOwner
--- a/validator/check.go
+++ b/validator/check.go
@@ -153,6 +153,7 @@
 	for _, name := range slices.Sorted(maps.Keys(c.Services)) {
 		s, object := c.Services[name], "service "+name
 		k.requireName(object, name)
+		k.require(s.NestedShare >= 0 && s.NestedShare <= 0.5, object, "nested_share", s.NestedShare, "0 to 0.5")
 		k.require(s.MaxRequest > 0, object, "max_request", s.MaxRequest.Value().String(), "a positive duration")
 		// Within a shorter window, a repeated order could run while the first one is still running.
 		k.require(s.IdempotencyWindow == 0 || s.IdempotencyWindow >= s.MaxRequest, object, "idempotency_window",
--- a/validator/objects.go
+++ b/validator/objects.go
@@ -22,6 +22,9 @@
 	MaxRequest Duration `json:"max_request" cbor:"3,keyasint"`
 	// IdempotencyWindow is the time for which an idempotency key is remembered.
 	IdempotencyWindow Duration `json:"idempotency_window,omitempty" cbor:"4,keyasint,omitempty"`
+	// NestedShare is the share of slots that only nested calls may use, from 0 to 0.5. Services that call each other in a
+	// circle need one, so that the calls can't wait for the slots that their own callers hold.
+	NestedShare float64 `json:"nested_share,omitempty" cbor:"6,keyasint,omitempty"`
 	// Placement names the placement rule, or is empty for the default.
 	Placement string `json:"placement,omitempty" cbor:"5,keyasint,omitempty"`
 }
