--- a/transporter/authority.go
+++ b/transporter/authority.go
@@ -76,6 +76,10 @@
 		files.Key:         encodePEM("PRIVATE KEY", keyDER),
 	}
 	for path, data := range contents {
+		// Other processes may be reading the authority's certificate, so it is written once.
+		if _, err := os.Stat(path); err == nil && path == files.Authority {
+			continue
+		}
 		if err := os.WriteFile(path, data, 0o600); err != nil {
 			return Files{}, errors.Wrap(err, "write credentials")
 		}
