--- a/validator/check.go
+++ b/validator/check.go
@@ -48,8 +48,11 @@
 // Limits of a configuration.
 const (
 	MaxInitialRanges = 65536
-	maxObjects       = 10000
-	maxText          = 1024
+	// MaxRanges bounds the sum of initial ranges over all services. Every process keeps all ranges in memory, some 100
+	// bytes each.
+	MaxRanges  = 1 << 20
+	maxObjects = 10000
+	maxText    = 1024
 )
 
 // plain is a value that a problem shows without quotes, because it is a description.
@@ -146,9 +149,11 @@
 
 func (k *checker) checkServices() {
 	c := k.configuration
+	ranges := 0
 	for _, name := range slices.Sorted(maps.Keys(c.Services)) {
 		s, object := c.Services[name], "service "+name
 		k.requireName(object, name)
+		k.require(s.NestedShare >= 0 && s.NestedShare <= 0.5, object, "nested_share", s.NestedShare, "0 to 0.5")
 		k.require(s.MaxRequest > 0, object, "max_request", s.MaxRequest.Value().String(), "a positive duration")
 		// Within a shorter window, a repeated order could run while the first one is still running.
 		k.require(s.IdempotencyWindow == 0 || s.IdempotencyWindow >= s.MaxRequest, object, "idempotency_window",
@@ -159,9 +164,11 @@
 		} else {
 			k.require(s.InitialRanges == 0, object, "initial_ranges", s.InitialRanges, "0 for a service that is not keyed")
 		}
+		ranges += s.InitialRanges
 		_, present := c.Placements[s.Placement]
 		k.require(s.Placement == "" || present, object, "placement", s.Placement, names(c.Placements))
 	}
+	k.require(ranges <= MaxRanges, "configuration", "services.initial_ranges", ranges, fmt.Sprintf("a sum of at most %d", MaxRanges))
 }
 
 func (k *checker) checkRules() {
