--- a/router/parse.go
+++ b/router/parse.go
@@ -139,7 +139,7 @@
 	if milliseconds <= 0 {
 		return 0, refuse(encoder.DeadlineExceeded, HeaderTimeout+" leaves no time: "+text)
 	}
-	return min(time.Duration(milliseconds)*time.Millisecond, maxTimeout), nil
+	return time.Duration(min(milliseconds, maxTimeout.Milliseconds())) * time.Millisecond, nil
 }
 
 // adoptParent gives a nested call the rank and at most the remaining time of the request that made it.
