dispatcher: callers can't set the headers of a grant

Hibiscus-Range and Hibiscus-Epoch of a caller went through to backend servers of unkeyed services. A server that checks grants would take a forged epoch and refuse real ones with a lower epoch. Keyed services were not affected, since the headers are replaced there. Found by TestBadInput/spoofed_grant.

--- a/dispatcher/backend.go
+++ b/dispatcher/backend.go
@@ -75,6 +75,10 @@
 	for name, values := range head.Header {
 		request.Header[name] = values
 	}
+	// What a caller sent under the names of a grant must not reach a backend server that checks grants.
+	request.Header.Del(HeaderRange)
+	request.Header.Del(HeaderEpoch)
+	request.Header.Del(HeaderDeadline)
 	request.Header.Set(HeaderService, head.Service)
 	request.Header.Set(HeaderParent, token)
 	if head.Keyed {
