daemon: a peer that stops within a frame loses its stream

The first message of a stream was read without a deadline, so a peer could hold up to 10,000 streams with up to 16 MiB each for as long as its connection lived. It is now read within 5 s. Found by TestBadInput/frames.

--- a/daemon/streams.go
+++ b/daemon/streams.go
@@ -15,7 +15,12 @@
 	"hibiscusline/transporter"
 )
 
-const fetchLimit = 500
+const (
+	fetchLimit = 500
+	// headTimeout bounds the wait for the first message of a stream. Without it, a peer that stops in the middle of a frame
+	// holds the stream and the part received for as long as its connection lives.
+	headTimeout = 5 * time.Second
+)
 
 // handleDatagram takes a lease message and notes who has applied more than this process.
 func (d *Daemon) handleDatagram(from netip.AddrPort, payload []byte) {
@@ -49,7 +54,7 @@
 
 // handleStream serves one exchange that a peer opened.
 func (d *Daemon) handleStream(_ context.Context, stream *transporter.Stream) {
-	message, err := encoder.Read(stream)
+	message, err := readHead(stream)
 	if err != nil {
 		d.metrics.GetOrCreateCounter("hibiscus_streams_refused_total").Inc()
 		stream.CancelRead(transporter.ResetCancelled)
@@ -69,6 +74,18 @@
 	_ = stream.Close()
 }
 
+// readHead reads the first message of a stream.
+func readHead(stream *transporter.Stream) (encoder.Message, error) {
+	if err := stream.SetReadDeadline(time.Now().Add(headTimeout)); err != nil {
+		return nil, err
+	}
+	message, err := encoder.Read(stream)
+	if err != nil {
+		return nil, err
+	}
+	return message, stream.SetReadDeadline(time.Time{})
+}
+
 // answer handles the messages other than requests.
 func (d *Daemon) answer(ctx context.Context, message encoder.Message) encoder.Message {
 	switch m := message.(type) {
