launcher, disruptor: cut processes off from the log or from peers

Peers learn one address of a process from the state, so a proxy in front of it also carries the connections that others open; what a process sends itself passes the proxies of its peers. Ruled out: a proxy for each pair of processes, since the state holds one address for all peers. Change: setting advertise of hibiscusd, which differs from quic when packets are forwarded; the launcher puts proxies around every process on request; Proxy.Block drops the datagrams of one UDP client in one direction.

--- a/daemon/log.go
+++ b/daemon/log.go
@@ -165,7 +165,7 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	for _, address := range d.config.Settings.Peers {
-		if address == d.config.Settings.QUIC {
+		if address == d.address() {
 			continue
 		}
 		if err := d.fetchState(ctx, address); err == nil {
--- a/daemon/member.go
+++ b/daemon/member.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -94,7 +95,7 @@
 	defer cancel()
 	result, err := d.commit(ctx, applier.Join{Member: applier.Member{
 		ID: n.id, Name: d.config.Settings.Name, Zone: d.config.Settings.Zone, Service: n.server.Service,
-		Address: d.transport.Address(), Admin: d.config.Settings.Admin, Slots: n.server.Slots, Fenced: n.server.Fenced,
+		Address: d.address(), Admin: d.config.Settings.Admin, Slots: n.server.Slots, Fenced: n.server.Fenced,
 	}})
 	if err != nil || !result.Accepted {
 		d.log("state", "join failed", "member", n.id, "reason", result.Reason, "err", err)
@@ -108,6 +109,14 @@
 	}
 }
 
+// address returns the address at which peers reach this process.
+func (d *Daemon) address() netip.AddrPort {
+	if a := d.config.Settings.Advertise; a.IsValid() {
+		return a
+	}
+	return d.transport.Address()
+}
+
 // background returns a context that ends when the daemon has stopped.
 func (d *Daemon) background() (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/disruptor/proxy.go
+++ b/disruptor/proxy.go
@@ -24,6 +24,7 @@
 type Proxy struct {
 	config  Config
 	board   *switchboard
+	blocks  blocks
 	address netip.AddrPort
 	ctx     context.Context
 	stop    context.CancelFunc
@@ -94,6 +95,9 @@
 	}
 }
 
+// Block drops the datagrams of one UDP client in a direction, or ends that.
+func (p *Proxy) Block(client netip.AddrPort, d Direction, on bool) { p.blocks.set(client, d, on) }
+
 // Reset ends all TCP connections on both sides with RST, so that data in transit is lost, and forgets all UDP sessions.
 // New ones are accepted.
 func (p *Proxy) Reset() {
--- a/disruptor/udp.go
+++ b/disruptor/udp.go
@@ -41,7 +41,7 @@
 			continue
 		}
 		if s := p.session(client); s != nil {
-			p.disturb(s.lanes[Upstream], buffer[:n])
+			p.disturb(s, Upstream, buffer[:n])
 		}
 	}
 }
@@ -66,7 +66,9 @@
 	s.lanes[Downstream] = newLane(Downstream, func(data []byte) { _, _ = p.socket.WriteToUDPAddrPort(data, client) })
 	p.sessions[client] = s
 	for _, l := range s.lanes {
-		p.workers.Go(func() { l.run(ctx, func() bool { return p.Toxics(l.direction).Cut }) })
+		p.workers.Go(func() {
+			l.run(ctx, func() bool { return p.Toxics(l.direction).Cut || p.blocks.has(client, l.direction) })
+		})
 	}
 	p.workers.Go(func() { p.answer(s) })
 	return s
@@ -87,14 +89,15 @@
 			}
 			continue
 		}
-		p.disturb(s.lanes[Downstream], buffer[:n])
+		p.disturb(s, Downstream, buffer[:n])
 	}
 }
 
-// disturb applies the toxics of a lane's direction to a datagram.
-func (p *Proxy) disturb(l *lane, data []byte) {
+// disturb applies the toxics of a direction to a datagram of a session.
+func (p *Proxy) disturb(s *session, d Direction, data []byte) {
+	l := s.lanes[d]
 	t, _ := p.board.get(l.direction)
-	if t.Cut || p.board.chance(t.Loss) {
+	if t.Cut || p.blocks.has(s.client, l.direction) || p.board.chance(t.Loss) {
 		return
 	}
 	copies := 1
--- a/launcher/fleet.go
+++ b/launcher/fleet.go
@@ -50,6 +50,8 @@
 	// Edit changes the settings of a process before its start.
 	Edit func(*loader.DaemonSettings)
 	Seed uint64
+	// Disturbed puts proxies around every process, so that its traffic can be cut and slowed.
+	Disturbed bool
 }
 
 // Fleet is a running fleet.
@@ -233,6 +235,11 @@
 			first = err
 		}
 	}
+	for _, n := range f.Nodes {
+		if err := n.network.close(); err != nil && first == nil {
+			first = err
+		}
+	}
 	f.cancel()
 	if f.logServer != nil {
 		if err := f.logServer.Close(); err != nil && first == nil {
@@ -253,7 +260,7 @@
 
 func (f *Fleet) writeSettings(s loader.DaemonSettings) (string, error) {
 	// Durations are written as text in settings files.
-	data, err := json.MarshalIndent(map[string]any{
+	fields := map[string]any{
 		"name": s.Name, "zone": s.Zone, "listen": s.Listen, "quic": s.QUIC, "local": s.Local, "admin": s.Admin,
 		"peers": s.Peers,
 		"log": map[string]any{
@@ -266,7 +273,11 @@
 			"max_connections": s.Limits.MaxConnections,
 		},
 		"drain_timeout": s.DrainTimeout.String(),
-	}, "", "  ")
+	}
+	if s.Advertise.IsValid() {
+		fields["advertise"] = s.Advertise
+	}
+	data, err := json.MarshalIndent(fields, "", "  ")
 	if err != nil {
 		return "", err
 	}
--- /dev/null
+++ b/launcher/network.go
@@ -0,0 +1,95 @@
+package launcher
+
+import (
+	"net/netip"
+
+	"github.com/pkg/errors"
+
+	"hibiscusline/disruptor"
+	"hibiscusline/loader"
+)
+
+// network is the part of a node's traffic that can be disturbed: a proxy in front of its QUIC address, which the process
+// advertises, and one between it and the log.
+type network struct {
+	quic *disruptor.Proxy
+	log  *disruptor.Proxy
+}
+
+// disturb puts proxies around a process that is about to start.
+func (f *Fleet) disturb(s *loader.DaemonSettings) (*network, error) {
+	if !f.config.Disturbed {
+		return nil, nil
+	}
+	loopback := netip.MustParseAddrPort("127.0.0.1:0")
+	seed := f.config.Seed + uint64(len(f.Nodes))
+	quic, err := disruptor.New(disruptor.Config{Protocol: disruptor.UDP, Listen: loopback, Upstream: s.QUIC, Seed: seed})
+	if err != nil {
+		return nil, err
+	}
+	log, err := disruptor.New(disruptor.Config{Protocol: disruptor.TCP, Listen: loopback, Upstream: f.address, Seed: seed})
+	if err != nil {
+		return nil, errors.WithMessage(err, closeText(quic.Close()))
+	}
+	s.Advertise, s.Log.Address = quic.Addr(), log.Addr()
+	return &network{quic: quic, log: log}, nil
+}
+
+func closeText(err error) string {
+	if err != nil {
+		return "close: " + err.Error()
+	}
+	return "closed"
+}
+
+func (w *network) close() error {
+	if w == nil {
+		return nil
+	}
+	quicErr := w.quic.Close()
+	if err := w.log.Close(); err != nil {
+		return err
+	}
+	return quicErr
+}
+
+// CutLog holds back all traffic between the process and the log, or ends that. It needs Config.Disturbed, like the
+// other methods that disturb traffic.
+func (n *Node) CutLog(on bool) { n.network.log.Blackhole(on) }
+
+// SlowLog sets toxics in both directions between the process and the log.
+func (n *Node) SlowLog(t disruptor.Toxics) {
+	n.network.log.Set(disruptor.Upstream, t)
+	n.network.log.Set(disruptor.Downstream, t)
+}
+
+// CutPeers drops what peers send to the process, and what it sends to them, or ends that.
+func (n *Node) CutPeers(toProcess, fromProcess bool) {
+	own := n.network.quic
+	for d, cut := range map[disruptor.Direction]bool{disruptor.Upstream: toProcess, disruptor.Downstream: fromProcess} {
+		t := own.Toxics(d)
+		t.Cut = cut
+		own.Set(d, t)
+	}
+	// The connections that the process opens pass the proxies of its peers.
+	for _, other := range n.fleet.Nodes {
+		if other != n {
+			other.network.quic.Block(n.Settings.QUIC, disruptor.Upstream, fromProcess)
+			other.network.quic.Block(n.Settings.QUIC, disruptor.Downstream, toProcess)
+		}
+	}
+}
+
+// Disturb sets toxics in both directions on the connections that peers open to the process. They replace a cut.
+func (n *Node) Disturb(t disruptor.Toxics) {
+	n.network.quic.Set(disruptor.Upstream, t)
+	n.network.quic.Set(disruptor.Downstream, t)
+}
+
+// advertised returns the address at which peers reach the process.
+func (n *Node) advertised() netip.AddrPort {
+	if n.Settings.Advertise.IsValid() {
+		return n.Settings.Advertise
+	}
+	return n.Settings.QUIC
+}
--- a/launcher/node.go
+++ b/launcher/node.go
@@ -32,6 +32,7 @@
 	Server   *emulator.Server
 
 	fleet      *Fleet
+	network    *network
 	stopServer context.CancelFunc
 	serverDone chan struct{}
 
@@ -68,12 +69,15 @@
 	}
 	s.Peers = []netip.AddrPort{}
 	for _, other := range f.Nodes[:min(len(f.Nodes), 3)] {
-		s.Peers = append(s.Peers, other.Settings.QUIC)
+		s.Peers = append(s.Peers, other.advertised())
 	}
 	if f.config.Edit != nil {
 		f.config.Edit(&s)
 	}
 	n := &Node{Name: name, Service: service.Name, Settings: s, fleet: f}
+	if n.network, err = f.disturb(&n.Settings); err != nil {
+		return nil, err
+	}
 	if err := n.startServer(service); err != nil {
 		return nil, err
 	}
--- a/loader/daemon.go
+++ b/loader/daemon.go
@@ -18,6 +18,9 @@
 	Listen netip.AddrPort `json:"listen"`
 	// QUIC is where other processes reach this one over UDP. It is published, so it must name an address.
 	QUIC netip.AddrPort `json:"quic"`
+	// Advertise is the address that other processes use for QUIC, when it differs because packets to it are forwarded
+	// here. Empty means QUIC.
+	Advertise netip.AddrPort `json:"advertise"`
 	// Local is the HTTP endpoint for the backend server beside the process. It is on loopback, since it takes
 	// announcements from anyone who can reach it.
 	Local netip.AddrPort `json:"local"`
@@ -99,6 +102,9 @@
 	c.name("zone", s.Zone)
 	c.address("listen", s.Listen)
 	c.published("quic", s.QUIC)
+	if s.Advertise.IsValid() {
+		c.published("advertise", s.Advertise)
+	}
 	c.address("local", s.Local)
 	c.require(!s.Local.IsValid() || s.Local.Addr().IsLoopback(), "local", s.Local.String(), "a loopback address, such as 127.0.0.1")
 	c.published("admin", s.Admin)
