daemon: idempotency rows expire, and a guardian's rows count only for the guardian version they were completed at

Cause: rows were never forgotten; a guardian that was replaced and later named again still called its old rows complete, so an order could run twice after a take-over. Ruled out: releasing the rows when the guardian reads that it was replaced (it may apply both records at once). Change: the owner names the guardian version with "complete", a successor asks for the version of the removal; a janitor expires rows and releases those of owners that this process no longer guards. Conclusion: a double fault during a change of guardians can no longer repeat an order.

--- a/applier/apply.go
+++ b/applier/apply.go
@@ -201,6 +201,7 @@
 	delete(s.Members, m.ID)
 	s.Removals = appendBounded(s.Removals, Removal{
 		ID: m.ID, Name: m.Name, Guardians: m.Guardians, Fenced: m.Fenced, Offset: offset, Cause: cause,
+		GuardianVersion: m.GuardianVersion,
 	}, maxRemovals)
 }
 
--- a/applier/member.go
+++ b/applier/member.go
@@ -75,6 +75,8 @@
 	Fenced    bool       `cbor:"4,keyasint" json:"fenced"`
 	Offset    Offset     `cbor:"5,keyasint" json:"offset"`
 	Cause     Cause      `cbor:"6,keyasint" json:"cause"`
+	// GuardianVersion is the version of Guardians.
+	GuardianVersion Offset `cbor:"7,keyasint" json:"guardian_version"`
 }
 
 // Cause is the reason for a change of owner.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -65,6 +65,8 @@
 
 	storeMu sync.Mutex
 	store   *deduper.Store
+	// completeAt is the guardian version at which each owner last declared its rows complete or incomplete here.
+	completeAt map[applier.MemberID]applier.Offset
 
 	loadsMu sync.Mutex
 	loads   map[applier.MemberID]memberLoad
@@ -81,16 +83,17 @@
 // New returns a daemon that is not yet listening.
 func New(c Config) *Daemon {
 	d := &Daemon{
-		config:  c,
-		logger:  log.With(c.Logger, "name", c.Settings.Name),
-		metrics: metrics.NewSet(),
-		client:  appender.New(appender.Config{Address: c.Settings.Log.Address, Stream: c.Settings.Log.Stream}),
-		state:   &follower.Follower{},
-		kicks:   make(chan struct{}, 1),
-		behind:  make(chan netip.AddrPort, 16),
-		store:   deduper.NewStore(deduper.Limits{}),
-		loads:   map[applier.MemberID]memberLoad{},
-		stopped: make(chan struct{}),
+		config:     c,
+		logger:     log.With(c.Logger, "name", c.Settings.Name),
+		metrics:    metrics.NewSet(),
+		client:     appender.New(appender.Config{Address: c.Settings.Log.Address, Stream: c.Settings.Log.Stream}),
+		state:      &follower.Follower{},
+		kicks:      make(chan struct{}, 1),
+		behind:     make(chan netip.AddrPort, 16),
+		store:      deduper.NewStore(deduper.Limits{}),
+		completeAt: map[applier.MemberID]applier.Offset{},
+		loads:      map[applier.MemberID]memberLoad{},
+		stopped:    make(chan struct{}),
 	}
 	d.router = router.New(router.Config{
 		State: d.state, Exchanger: (*exchanger)(d), Chooser: newChooser(c.Settings.Zone, d.reportOf), Budget: newBudget(),
@@ -122,7 +125,7 @@
 	}
 	background, cancel := context.WithCancel(context.Background())
 	d.registerGauges()
-	for _, task := range []func(context.Context){d.followLog, d.followPeers, d.watchState, d.tickLease, d.tickAdmission, d.tickBalance, d.watchBackend, d.keepCheckpoints} {
+	for _, task := range []func(context.Context){d.followLog, d.followPeers, d.watchState, d.tickLease, d.tickAdmission, d.tickBalance, d.watchBackend, d.expireRows, d.keepCheckpoints} {
 		d.tasks.Go(func() { task(background) })
 	}
 	d.log("state", "started", "listen", d.config.Settings.Listen, "quic", d.transport.Address())
--- a/daemon/member.go
+++ b/daemon/member.go
@@ -41,7 +41,9 @@
 	// synchronized is the guardian version whose guardians have all rows.
 	synchronized  atomic.Uint64
 	synchronizing atomic.Bool
-	fetching      atomic.Bool
+	// nextSync is the time before which the guardians are not told all rows again.
+	nextSync atomic.Int64
+	fetching atomic.Bool
 }
 
 // ValidUntil returns the end of the lease by the clock of package timer.
--- a/daemon/rows.go
+++ b/daemon/rows.go
@@ -11,12 +11,15 @@
 	"hibiscusline/encoder"
 	"hibiscusline/hasher"
 	"hibiscusline/timer"
+	"hibiscusline/validator"
 )
 
 const (
 	rowsTimeout = time.Second
 	// rowsBatch bounds the rows in one message; each may hold an outcome of 16 KiB.
 	rowsBatch = 200
+	// resyncInterval is the time after which guardians that were declared incomplete are told all rows again.
+	resyncInterval = 10 * time.Second
 )
 
 var fullRange = hasher.Full()
@@ -32,6 +35,7 @@
 	}
 	if m.Complete != encoder.Unchanged {
 		d.store.SetComplete(m.Owner, m.Complete == encoder.Complete)
+		d.completeAt[m.Owner] = m.Version
 	}
 	return encoder.Ack{}
 }
@@ -40,7 +44,8 @@
 	d.storeMu.Lock()
 	defer d.storeMu.Unlock()
 	rows, complete := d.store.Rows(timer.Now(), m.Owner, m.Service, m.Range)
-	return encoder.Rows{Rows: rows, Complete: complete}
+	// A guardian that was replaced and named again misses the rows of the time between.
+	return encoder.Rows{Rows: rows, Complete: complete && d.completeAt[m.Owner] == m.Version}
 }
 
 // replicator keeps the rows of an incarnation at its guardians.
@@ -123,22 +128,33 @@
 // synchronizeRows gives all rows to the guardians after the set of guardians changed, and then declares them complete.
 func (d *Daemon) synchronizeRows(n *incarnation) {
 	guardians, version := d.guardiansOf(n.id)
-	if len(guardians) == 0 || n.synchronized.Load() == uint64(version) || !n.synchronizing.CompareAndSwap(false, true) {
+	if len(guardians) == 0 || n.synchronized.Load() == uint64(version) || timer.Now() < time.Duration(n.nextSync.Load()) {
+		return
+	}
+	if !n.synchronizing.CompareAndSwap(false, true) {
 		return
 	}
 	d.tasks.Go(func() {
 		defer n.synchronizing.Store(false)
 		ctx, cancel := context.WithTimeout(context.Background(), rowsTimeout)
 		defer cancel()
-		if err := d.pushAll(ctx, n, guardians); err != nil {
+		whole, err := d.pushAll(ctx, n, guardians, version)
+		if err != nil {
 			d.metrics.GetOrCreateCounter("hibiscus_rows_unsent_total").Inc()
 			return
 		}
+		if !whole {
+			// Rows may be missing here until the blocks end; the guardians are told again then.
+			n.nextSync.Store(int64(timer.Now() + resyncInterval))
+			return
+		}
 		n.synchronized.Store(uint64(version))
 	})
 }
 
-func (d *Daemon) pushAll(ctx context.Context, n *incarnation, guardians []applier.Member) error {
+// pushAll sends all rows to the guardians and declares them complete, unless rows may be missing here. It reports whether
+// it declared them complete.
+func (d *Daemon) pushAll(ctx context.Context, n *incarnation, guardians []applier.Member, version applier.Offset) (bool, error) {
 	var rows []deduper.Row
 	var blocked bool
 	n.dispatcher.Rows(func(t *deduper.Table) {
@@ -149,14 +165,14 @@
 		part := rows[:min(rowsBatch, len(rows))]
 		rows = rows[len(part):]
 		if err := d.recordAt(ctx, guardians, encoder.RecordRows{Owner: n.id, Rows: part}); err != nil {
-			return err
+			return false, err
 		}
 	}
 	complete := encoder.Complete
 	if blocked {
 		complete = encoder.Incomplete
 	}
-	return d.recordAt(ctx, guardians, encoder.RecordRows{Owner: n.id, Complete: complete})
+	return !blocked, d.recordAt(ctx, guardians, encoder.RecordRows{Owner: n.id, Complete: complete, Version: version})
 }
 
 // fetchLostRows fetches the idempotency rows of ranges that this process took over, before it runs non-repeatable
@@ -164,13 +180,13 @@
 func (d *Daemon) fetchLostRows(n *incarnation) {
 	type lost struct {
 		assignment applier.Assignment
-		guardians  [][]applier.Member
+		owners     []lostOwner
 	}
 	var ranges []lost
 	var window time.Duration
 	d.state.View(func(s *applier.State) {
 		if s.Configuration != nil {
-			window = s.Configuration.Services[n.server.Service].IdempotencyWindow.Value()
+			window = s.Configuration.Services[n.server.Service].Window()
 		}
 		for _, a := range s.Owned(n.id) {
 			if len(a.Lineage) == 0 {
@@ -181,7 +197,7 @@
 			}
 			l := lost{assignment: a}
 			for _, owner := range a.Lineage {
-				l.guardians = append(l.guardians, presentGuardians(s, owner))
+				l.owners = append(l.owners, newLostOwner(s, owner))
 			}
 			ranges = append(ranges, l)
 		}
@@ -194,8 +210,8 @@
 		epochs := map[applier.Offset]bool{}
 		for _, l := range ranges {
 			complete := !l.assignment.Incomplete
-			for i, owner := range l.assignment.Lineage {
-				complete = d.importFrom(n, owner, l.guardians[i], l.assignment.Range) && complete
+			for _, owner := range l.owners {
+				complete = d.importFrom(n, owner, l.assignment.Range) && complete
 			}
 			if !complete {
 				d.metrics.GetOrCreateCounter("hibiscus_ranges_blocked_total").Inc()
@@ -209,27 +225,34 @@
 	})
 }
 
-func presentGuardians(s *applier.State, owner applier.MemberID) []applier.Member {
-	removal, known := s.Removal(owner)
+// lostOwner is a removed member with those of its guardians that are present.
+type lostOwner struct {
+	id        applier.MemberID
+	version   applier.Offset
+	guardians []applier.Member
+}
+
+func newLostOwner(s *applier.State, id applier.MemberID) lostOwner {
+	removal, known := s.Removal(id)
 	if !known {
-		return nil
+		return lostOwner{id: id}
 	}
-	var guardians []applier.Member
+	lost := lostOwner{id: id, version: removal.GuardianVersion}
 	for _, g := range removal.Guardians {
 		if m, present := s.Members[g]; present {
-			guardians = append(guardians, *m)
+			lost.guardians = append(lost.guardians, *m)
 		}
 	}
-	return guardians
+	return lost
 }
 
 // importFrom imports the rows that the guardians of a lost owner hold, and reports whether one of them holds all.
-func (d *Daemon) importFrom(n *incarnation, owner applier.MemberID, guardians []applier.Member, r hasher.Range) bool {
+func (d *Daemon) importFrom(n *incarnation, owner lostOwner, r hasher.Range) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), rowsTimeout)
 	defer cancel()
 	complete := false
-	for _, g := range guardians {
-		question := encoder.RowsQuery{Owner: owner, Service: n.server.Service, Range: r}
+	for _, g := range owner.guardians {
+		question := encoder.RowsQuery{Owner: owner.id, Service: n.server.Service, Range: r, Version: owner.version}
 		var rows encoder.Rows
 		if g.ID == n.id {
 			rows = d.queryRows(question).(encoder.Rows)
@@ -252,8 +275,8 @@
 func (d *Daemon) settleEpochs(n *incarnation, epochs map[applier.Offset]bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), rowsTimeout)
 	defer cancel()
-	guardians, _ := d.guardiansOf(n.id)
-	if err := d.pushAll(ctx, n, guardians); err != nil {
+	guardians, version := d.guardiansOf(n.id)
+	if _, err := d.pushAll(ctx, n, guardians, version); err != nil {
 		d.metrics.GetOrCreateCounter("hibiscus_rows_unsent_total").Inc()
 		return
 	}
@@ -271,3 +294,48 @@
 		}
 	})
 }
+
+// expireRows forgets rows that are older than their window, and rows kept for members that this process no longer guards.
+func (d *Daemon) expireRows(ctx context.Context) {
+	const interval = 5 * time.Second
+	every(ctx, interval, func() {
+		windows := map[string]time.Duration{}
+		owners := map[applier.MemberID]bool{}
+		self := d.self()
+		var applied applier.Offset
+		d.state.View(func(s *applier.State) {
+			if s.Configuration == nil {
+				return
+			}
+			applied = s.Applied
+			for name, service := range s.Configuration.Services {
+				windows[name] = service.Window()
+			}
+			for id, m := range s.Members {
+				owners[id] = m.GuardedBy(self)
+			}
+			for _, r := range s.Removals {
+				owners[r.ID] = r.Cause != applier.Left
+			}
+		})
+		window := func(service string) time.Duration {
+			if w, known := windows[service]; known {
+				return w
+			}
+			return validator.DefaultIdempotencyWindow
+		}
+		if n := d.incarnation(); n != nil {
+			n.dispatcher.Rows(func(t *deduper.Table) { t.Expire(timer.Now(), window) })
+		}
+		d.storeMu.Lock()
+		defer d.storeMu.Unlock()
+		d.store.Expire(timer.Now(), window)
+		for id, version := range d.completeAt {
+			// An owner may have read a newer record than this process has, which names it as guardian.
+			if !owners[id] && version <= applied {
+				d.store.Release(id)
+				delete(d.completeAt, id)
+			}
+		}
+	})
+}
--- a/encoder/message.go
+++ b/encoder/message.go
@@ -146,6 +146,8 @@
 	Forget []deduper.Ref `cbor:"3,keyasint,omitempty"`
 	// Complete says whether the guardian now holds all rows of the owner.
 	Complete Completeness `cbor:"4,keyasint,omitempty"`
+	// Version is the guardian version for which Complete holds.
+	Version applier.Offset `cbor:"5,keyasint,omitempty"`
 }
 
 // Completeness is an owner's statement about the rows that a guardian holds.
@@ -163,6 +165,8 @@
 	Owner   applier.MemberID `cbor:"1,keyasint"`
 	Service string           `cbor:"2,keyasint"`
 	Range   hasher.Range     `cbor:"3,keyasint"`
+	// Version is the owner's last guardian version.
+	Version applier.Offset `cbor:"4,keyasint"`
 }
 
 // Rows answers RowsQuery. Complete means that the guardian holds all rows of the owner.
--- a/validator/objects.go
+++ b/validator/objects.go
@@ -20,7 +20,7 @@
 	InitialRanges int `json:"initial_ranges,omitempty" cbor:"2,keyasint,omitempty"`
 	// MaxRequest bounds the time that one request may run on a backend server.
 	MaxRequest Duration `json:"max_request" cbor:"3,keyasint"`
-	// IdempotencyWindow is the time for which an idempotency key is remembered.
+	// IdempotencyWindow is the time for which an idempotency key is remembered. Zero means DefaultIdempotencyWindow.
 	IdempotencyWindow Duration `json:"idempotency_window,omitempty" cbor:"4,keyasint,omitempty"`
 	// NestedShare is the share of slots that only nested calls may use, from 0 to 0.5. Services that call each other in a
 	// circle need one, so that the calls can't wait for the slots that their own callers hold.
@@ -29,6 +29,17 @@
 	Placement string `json:"placement,omitempty" cbor:"5,keyasint,omitempty"`
 }
 
+// DefaultIdempotencyWindow is longer than callers usually go on sending a request again.
+const DefaultIdempotencyWindow = 5 * time.Minute
+
+// Window returns the time for which an idempotency key is remembered.
+func (s Service) Window() time.Duration {
+	if s.IdempotencyWindow == 0 {
+		return DefaultIdempotencyWindow
+	}
+	return s.IdempotencyWindow.Value()
+}
+
 // Rank is a class of work. The rank with the lowest Urgency value is served first.
 type Rank struct {
 	Urgency int `json:"urgency" cbor:"1,keyasint"`
