dispatcher, daemon: owner verifies requests; announcements are bounded and whole

The owner took the entry's word that a service is unkeyed, that a position belongs to a key and that a path is a path. An entry with an older configuration could thus get around the check of ownership, a peer could reach another address through a path such as @host/, an idempotency key of an unkeyed service was accepted, and a rank with quotes ended the process through the metrics library. The owner now checks these against its own state. Found by TestBadInput/requests of a peer.

An announcement or a move may have no text after its JSON object, and slots and connections are at most 65,536. Found by TestBadInput/announcements.

--- a/daemon/admin.go
+++ b/daemon/admin.go
@@ -52,9 +52,7 @@
 
 func (d *Daemon) answerMove(w http.ResponseWriter, r *http.Request) {
 	var m reporter.Move
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncement))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&m); err != nil {
+	if err := decodeBody(w, r, &m); err != nil {
 		writeRefusal(w, http.StatusBadRequest, "move: "+err.Error())
 		return
 	}
--- a/daemon/local.go
+++ b/daemon/local.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"io"
 	"net/http"
 	"net/netip"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"hibiscusline/reporter"
 )
 
@@ -15,6 +19,8 @@
 	announceTimeout = 3 * time.Second
 	// maxAnnouncement bounds the body of an announcement in bytes.
 	maxAnnouncement = 64 << 10
+	// maxSlots bounds slots and connections. One address has no more ports, so larger numbers can only be slips.
+	maxSlots = 1 << 16
 	// probeInterval and probeTimeout set how soon a frozen backend server is noticed.
 	probeInterval = 250 * time.Millisecond
 	probeTimeout  = 400 * time.Millisecond
@@ -40,10 +46,10 @@
 		return "service is missing"
 	case !a.Address.IsValid():
 		return "address must be an IP address with a port"
-	case a.Slots < 1:
-		return "slots must be 1 or more"
-	case a.Connections < a.Slots:
-		return "connections must be at least the number of slots"
+	case a.Slots < 1 || a.Slots > maxSlots:
+		return fmt.Sprintf("slots must be 1 to %d", maxSlots)
+	case a.Connections < a.Slots || a.Connections > maxSlots:
+		return fmt.Sprintf("connections must be at least the number of slots and at most %d", maxSlots)
 	case a.State != "active" && a.State != "draining":
 		return `state must be "active" or "draining"`
 	}
@@ -54,9 +60,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /announce", func(w http.ResponseWriter, r *http.Request) {
 		var a announcement
-		decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncement))
-		decoder.DisallowUnknownFields()
-		if err := decoder.Decode(&a); err != nil {
+		if err := decodeBody(w, r, &a); err != nil {
 			writeRefusal(w, http.StatusBadRequest, "announcement: "+err.Error())
 			return
 		}
@@ -70,6 +74,19 @@
 	return mux
 }
 
+// decodeBody decodes a request's body, which must be one JSON object of known fields and nothing else.
+func decodeBody(w http.ResponseWriter, r *http.Request, into any) error {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncement))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		return err
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return errors.New("more follows after the JSON object")
+	}
+	return nil
+}
+
 func writeRefusal(w http.ResponseWriter, status int, message string) {
 	writeJSON(w, status, reporter.Refusal{Message: message})
 }
--- a/dispatcher/backend.go
+++ b/dispatcher/backend.go
@@ -59,6 +59,8 @@
 	err      error
 	// connected means that the request may have reached the server.
 	connected bool
+	// malformed means that the head makes no HTTP request. Nothing was sent.
+	malformed bool
 }
 
 func (b *backend) call(ctx context.Context, address netip.AddrPort, head encoder.Request, a applier.Assignment, token string, body io.Reader) exchange {
@@ -69,7 +71,7 @@
 	target := "http://" + address.String() + head.Path
 	request, err := http.NewRequestWithContext(ctx, head.Method, target, opaqueBody{body})
 	if err != nil {
-		return exchange{err: err}
+		return exchange{err: err, malformed: true}
 	}
 	request.ContentLength = head.Length
 	for name, values := range head.Header {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -142,10 +142,10 @@
 	defer cancel()
 	j := &job{head: head, body: body, sink: sink, deadline: deadline}
 	err := d.serve(ctx, j)
-	d.config.Metrics.GetOrCreateCounter(`hibiscus_owner_requests_total{rank="` + head.Rank + `",outcome="` +
+	d.config.Metrics.GetOrCreateCounter(`hibiscus_owner_requests_total{rank="` + j.rankLabel() + `",outcome="` +
 		j.outcome.String() + `",reason="` + j.reason.String() + `"}`).Inc()
 	if j.outcome == encoder.Answered {
-		d.config.Metrics.GetOrCreateHistogram(`hibiscus_owner_seconds{rank="` + head.Rank + `"}`).UpdateDuration(started)
+		d.config.Metrics.GetOrCreateHistogram(`hibiscus_owner_seconds{rank="` + j.rankLabel() + `"}`).UpdateDuration(started)
 	}
 	return err
 }
@@ -157,8 +157,10 @@
 	sink     Sink
 	deadline time.Time
 	grant    grant
-	outcome  encoder.Outcome
-	reason   encoder.Reason
+	// ranked means that the configuration has the request's rank.
+	ranked  bool
+	outcome encoder.Outcome
+	reason  encoder.Reason
 }
 
 // respond sends an answer without body.
@@ -177,8 +179,8 @@
 }
 
 func (d *Dispatcher) serve(ctx context.Context, j *job) error {
-	if j.head.Target != d.config.Self() || j.head.Service != d.config.Service {
-		return d.refuse(j, encoder.NotOwner)
+	if reason := d.verify(j); reason != encoder.NoReason {
+		return d.refuse(j, reason)
 	}
 	if d.backend.lost.Load() {
 		return d.refuse(j, encoder.BackendLost)
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -73,6 +73,11 @@
 // failed handles a call without an answer: the server crashed, the connection broke, or the time ran out.
 func (d *Dispatcher) failed(ctx context.Context, j *job, x exchange, settle func(ending), r running, release func(bool)) error {
 	defer release(false)
+	if x.malformed {
+		d.suspects.cancel(r)
+		settle(ending{})
+		return d.refuse(j, encoder.BadRequest)
+	}
 	if ctx.Err() != nil {
 		d.suspects.cancel(r)
 		settle(ending{dispatched: x.connected})
