router: headers over the limit are refused with an outcome

The HTTP server answers 431 itself and closes the connection with unread data, so callers mostly saw a reset and had to take the request for unknown. The server now reads 64 KiB more, and the router refuses with header_too_large. Found by TestBadInput/headers, which got 'connection reset by peer'.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -98,7 +98,7 @@
 	d.router = router.New(router.Config{
 		State: d.state, Exchanger: (*exchanger)(d), Chooser: newChooser(c.Settings.Zone, d.reportOf), Budget: newBudget(),
 		Backoff: newBackoff(), Parents: d.parent, DefaultTimeout: c.Settings.Limits.DefaultTimeout,
-		ReplayLimit: c.Settings.Limits.ReplayLimit, Metrics: d.metrics,
+		ReplayLimit: c.Settings.Limits.ReplayLimit, MaxHeaderBytes: c.Settings.Limits.MaxHeaderBytes, Metrics: d.metrics,
 	})
 	return d
 }
@@ -168,6 +168,10 @@
 	}
 }
 
+// headerSlack is what the HTTP server reads of headers beyond the limit, so that the router can refuse them with an
+// outcome. The server itself closes the connection with unread data, and the caller then mostly sees a reset.
+const headerSlack = 64 << 10
+
 func (d *Daemon) listen() (*servers, error) {
 	limits := d.config.Settings.Limits
 	protocols := &http.Protocols{}
@@ -175,7 +179,7 @@
 	protocols.SetUnencryptedHTTP2(true)
 	s := &servers{
 		callers: &http.Server{
-			Handler: d.callerHandler(), MaxHeaderBytes: limits.MaxHeaderBytes, Protocols: protocols,
+			Handler: d.callerHandler(), MaxHeaderBytes: limits.MaxHeaderBytes + headerSlack, Protocols: protocols,
 			ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute,
 		},
 		local: &http.Server{Handler: d.localHandler(), ReadTimeout: 5 * time.Second, MaxHeaderBytes: limits.MaxHeaderBytes},
--- a/encoder/message.go
+++ b/encoder/message.go
@@ -55,6 +55,7 @@
 	FencedOff        // fenced_off
 	RetriesExhausted // retries_exhausted
 	IntegrityFailed  // integrity_failed
+	HeaderTooLarge   // header_too_large
 )
 
 // Transient reports whether a request that was not run for this reason may run soon at the same or another process.
--- a/encoder/names.go
+++ b/encoder/names.go
@@ -55,11 +55,12 @@
 	_ = x[FencedOff-24]
 	_ = x[RetriesExhausted-25]
 	_ = x[IntegrityFailed-26]
+	_ = x[HeaderTooLarge-27]
 }
 
-const _Reason_name = "nonebad_requestunknown_servicemissing_keynot_readynot_ownerno_leasemovingno_owneroverloadeddeadline_exceededcancelledpoisonbackend_failedbackend_lostserver_crashedpeer_unreachablestoppingidempotency_key_reusedoutcome_unknownidempotency_rows_missingguardians_unreachableidempotency_rows_pendingbody_too_largefenced_offretries_exhaustedintegrity_failed"
+const _Reason_name = "nonebad_requestunknown_servicemissing_keynot_readynot_ownerno_leasemovingno_owneroverloadeddeadline_exceededcancelledpoisonbackend_failedbackend_lostserver_crashedpeer_unreachablestoppingidempotency_key_reusedoutcome_unknownidempotency_rows_missingguardians_unreachableidempotency_rows_pendingbody_too_largefenced_offretries_exhaustedintegrity_failedheader_too_large"
 
-var _Reason_index = [...]uint16{0, 4, 15, 30, 41, 50, 59, 67, 73, 81, 91, 108, 117, 123, 137, 149, 163, 179, 187, 209, 224, 248, 269, 293, 307, 317, 334, 350}
+var _Reason_index = [...]uint16{0, 4, 15, 30, 41, 50, 59, 67, 73, 81, 91, 108, 117, 123, 137, 149, 163, 179, 187, 209, 224, 248, 269, 293, 307, 317, 334, 350, 366}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/launcher/badinput_test.go
+++ b/launcher/badinput_test.go
@@ -203,8 +203,9 @@
 			require.NotEmpty(t, failure.Message)
 		}
 	}
-	response, _ := b.send(b.Nodes[0], http.MethodGet, "/", map[string]string{"X-Large": strings.Repeat("x", 64<<10)}, "")
+	response, body := b.send(b.Nodes[0], http.MethodGet, "/", map[string]string{"X-Large": strings.Repeat("x", 64<<10)}, "")
 	require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, response.StatusCode)
+	require.Equal(t, "not_run", response.Header.Get("Hibiscus-Outcome"), body)
 }
 
 // testSpoofedGrant: a caller must not be able to set what a backend server takes for a grant of the router, nor a
@@ -224,11 +225,13 @@
 }
 
 var garbage = [][]byte{
-	{0}, bytes.Repeat([]byte{0xff}, 70000), []byte("\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03"),
+	{0},
+	bytes.Repeat([]byte{0xff}, 70000), []byte("\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03"),
 	[]byte("GET / HTTP/9.9\r\n\r\n"), []byte("POST /move HTTP/1.1\r\nContent-Length: -1\r\n\r\n"),
 	[]byte("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nHibiscus-Service: pattern-archive\r\n\r\nffffffffffffffffff\r\n"),
 	[]byte("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\xff\xff\xff\xff\xff\xff\xff\xff\xff"),
-	[]byte("\r\n\r\n\r\n"), {},
+	[]byte("\r\n\r\n\r\n"),
+	{},
 }
 
 // testGarbage: every port must survive bytes of other protocols and connections that end at once.
--- a/router/outcome.go
+++ b/router/outcome.go
@@ -43,6 +43,8 @@
 		return http.StatusUnprocessableEntity
 	case encoder.BodyTooLarge:
 		return http.StatusRequestEntityTooLarge
+	case encoder.HeaderTooLarge:
+		return http.StatusRequestHeaderFieldsTooLarge
 	case encoder.Overloaded:
 		return http.StatusTooManyRequests
 	case encoder.DeadlineExceeded:
--- a/router/parse.go
+++ b/router/parse.go
@@ -50,6 +50,9 @@
 
 // parse checks a caller's request and classifies it by the configuration in force.
 func (rt *Router) parse(r *http.Request, now time.Time) (*call, error) {
+	if limit := rt.config.MaxHeaderBytes; limit > 0 && headerSize(r) > limit {
+		return nil, refuse(encoder.HeaderTooLarge, "request target and headers are limited to "+strconv.Itoa(limit)+" bytes")
+	}
 	c := &call{head: encoder.Request{
 		Service:        r.Header.Get(HeaderService),
 		Key:            r.Header.Get(HeaderKey),
@@ -83,6 +86,18 @@
 	return c, nil
 }
 
+// headerSize returns about the size of a request's target and headers as they were sent.
+func headerSize(r *http.Request) int {
+	const separators = len(": \r\n")
+	size := len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + separators
+		}
+	}
+	return size
+}
+
 func forwardedHeader(header http.Header) map[string][]string {
 	forwarded := header.Clone()
 	for _, value := range header.Values("Connection") {
--- a/router/router.go
+++ b/router/router.go
@@ -56,7 +56,9 @@
 	DefaultTimeout time.Duration
 	// ReplayLimit is the largest body that can be sent again, in bytes.
 	ReplayLimit int
-	Metrics     *metrics.Set
+	// MaxHeaderBytes bounds the request target and the headers, in bytes. Zero is no bound.
+	MaxHeaderBytes int
+	Metrics        *metrics.Set
 }
 
 // Router is the HTTP handler for callers.
