router: the body of a request is not read after its handler has ended

The goroutine that streams a caller's body to the owner could still be reading when the handler returned, since an answer can come first (a replayed outcome, a refusal, a deadline). net/http then panicked with 'invalid concurrent Body.Read call' and cut the caller's connection, so that the next request on it got the outcome unknown; with full duplex the rest of a body could also be taken for a next request.

The router now ends the reading before the handler returns, reads the rest of small bodies for at most 50 ms, and closes the connection when a part is left. A request that is refused at once gets a read deadline too; a caller that sent no body after a bad header held its connection without limit.

The answer keeps 'Connection: close' that a draining process sets; the removal of hop-by-hop headers had dropped it.

--- a/router/body.go
+++ b/router/body.go
@@ -4,6 +4,15 @@
 	"bytes"
 	"io"
 	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// drainTime and drainLimit bound what is read of a body that nobody needs any more, so that the caller's connection
+	// can be used again.
+	drainTime  = 50 * time.Millisecond
+	drainLimit = 256 << 10
 )
 
 // replayBody reads a caller's body and keeps its beginning, so that the request can be sent again. It can be replayed
@@ -15,6 +24,8 @@
 	kept   bytes.Buffer
 	lost   bool
 	err    error
+	// ended means that nothing more is to be read for an attempt.
+	ended atomic.Bool
 	// generation counts the attempts; a reader of an earlier attempt gets no more bytes.
 	generation int
 }
@@ -32,6 +43,39 @@
 	return &replayReader{body: b, generation: b.generation}, !b.lost
 }
 
+// whole reports whether the body was read to its end.
+func (b *replayBody) whole() bool {
+	if !b.mu.TryLock() {
+		return false
+	}
+	defer b.mu.Unlock()
+	return b.err == io.EOF
+}
+
+// end ends the readers of all attempts, waits for a read that is going on, and reads the rest of a small body. It reports
+// whether the body was read to its end. The function sets the deadline of reads from the caller.
+//
+// It must be called before the handler returns: a later read takes bytes of the connection's next request, and net/http
+// ends the connection when it notices.
+func (b *replayBody) end(setDeadline func(time.Time)) bool {
+	b.ended.Store(true)
+	if b.whole() {
+		return true
+	}
+	setDeadline(time.Now().Add(drainTime))
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.err == nil {
+		_, b.err = io.CopyN(io.Discard, b.source, drainLimit)
+	}
+	if b.err != io.EOF {
+		// The deadline stays, so that the server doesn't wait for the rest of the body either.
+		return false
+	}
+	setDeadline(time.Time{})
+	return true
+}
+
 type replayReader struct {
 	body       *replayBody
 	generation int
@@ -43,7 +87,7 @@
 	b := r.body
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if r.generation != b.generation {
+	if r.generation != b.generation || b.ended.Load() {
 		return 0, io.ErrClosedPipe
 	}
 	if !b.lost && r.offset < b.kept.Len() {
--- a/router/parse.go
+++ b/router/parse.go
@@ -82,7 +82,6 @@
 	if err := rt.adoptParent(c, r.Header.Get(HeaderParent), now); err != nil {
 		return nil, err
 	}
-	c.body = newReplayBody(r.Body, rt.config.ReplayLimit)
 	return c, nil
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -78,28 +79,33 @@
 // ServeHTTP answers a caller's request.
 func (rt *Router) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
+	body := rt.takeBody(w, r)
 	c, err := rt.parse(r, started)
 	if err != nil {
+		body.closeUnless(body.end())
 		rt.answerFailure(w, err)
 		return
 	}
+	c.body = body.replayBody
 	if r.ContentLength != 0 {
-		// Without full duplex the server would read the rest of the body before it sends an answer.
-		// HTTP/2 needs and supports no such switch.
-		_ = http.NewResponseController(w).EnableFullDuplex()
-		// A caller that stops sending its body must not hold the request beyond its deadline. A connection that doesn't
-		// support deadlines is bounded by the server's own.
-		_ = http.NewResponseController(w).SetReadDeadline(c.deadline.Add(time.Second))
+		// A caller that stops sending its body must not hold the request beyond its deadline.
+		body.setDeadline(c.deadline.Add(time.Second))
 	}
+	defer body.end()
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
-	response, body := rt.forward(ctx, c)
+	response, answer := rt.forward(ctx, c)
 	rt.count(c, response)
 	if response.Outcome != encoder.Answered {
+		body.closeUnless(body.end())
 		writeFailure(w, response, "")
 		return
 	}
-	rt.relay(w, response, body)
+	if response.Replayed {
+		body.end()
+	}
+	body.closeUnless(body.whole())
+	rt.relay(w, response, answer)
 	rt.config.Metrics.GetOrCreateHistogram(`hibiscus_entry_seconds{rank="` + c.head.Rank + `"}`).UpdateDuration(started)
 }
 
@@ -120,11 +126,11 @@
 func (rt *Router) relay(w http.ResponseWriter, r encoder.Response, body ResponseBody) {
 	defer body.Close()
 	header := w.Header()
+	// Headers that concern this connection were set before and stay.
 	for name, values := range r.Header {
-		header[name] = values
-	}
-	for _, name := range hopHeaders {
-		header.Del(name)
+		if !slices.Contains(hopHeaders, name) {
+			header[name] = values
+		}
 	}
 	header.Set(HeaderOutcome, encoder.Answered.String())
 	if r.Replayed {
