transporter, appender: traffic on the wire as metrics

Cause: the control cost per node has a limit of 7 KB/s and nothing counted it. Change: the traffic of all QUIC connections is summed from the connections' own statistics, plus 28 bytes of IP and UDP headers a packet. Calls to the log are counted at their connection, with TCP headers as on Ethernet. Ruled out: a wrapper around the UDP socket, which takes the batched reads and the segmentation offload away from quic-go. Not counted: attempts to connect that failed.

--- a/appender/client.go
+++ b/appender/client.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -39,6 +40,7 @@
 	config Config
 	base   string
 	http   *http.Client
+	bytes  atomic.Uint64
 }
 
 // Batch is a run of records read from the log.
@@ -49,11 +51,14 @@
 	if c.Timeout == 0 {
 		c.Timeout = defaultTimeout
 	}
-	return &Client{
+	client := &Client{
 		config: c,
 		base:   fmt.Sprintf("http://%s/streams/%s/records", c.Address, url.PathEscape(c.Stream)),
-		http:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}},
 	}
+	client.http = &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, DialContext: client.dial,
+	}}
+	return client
 }
 
 // Close releases idle connections.
--- a/transporter/transporter.go
+++ b/transporter/transporter.go
@@ -54,6 +54,9 @@
 
 	mu    sync.Mutex
 	peers map[netip.AddrPort]*peer
+	// open holds all connections, also those that are not the one in use for their address.
+	open  map[*quic.Conn]struct{}
+	ended Traffic
 
 	dials    atomic.Int64
 	failures atomic.Int64
@@ -90,7 +93,7 @@
 	t := &Transporter{
 		config: c, transport: transport, listener: listener, context: ctx, cancel: cancel,
 		address: socket.LocalAddr().(*net.UDPAddr).AddrPort(),
-		peers:   map[netip.AddrPort]*peer{},
+		peers:   map[netip.AddrPort]*peer{}, open: map[*quic.Conn]struct{}{},
 	}
 	t.tasks.Go(t.accept)
 	return t, nil
@@ -178,7 +181,9 @@
 
 // serve starts the tasks of a connection.
 func (t *Transporter) serve(address netip.AddrPort, p *peer) {
+	t.noteOpen(p.connection)
 	t.tasks.Go(func() {
+		defer t.noteEnded(p.connection)
 		defer t.forget(address, p)
 		for {
 			stream, err := p.connection.AcceptStream(t.context)
