--- a/daemon/local.go
+++ b/daemon/local.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"hibiscusline/reporter"
+	"hibiscusline/timer"
 )
 
 const (
@@ -129,21 +130,24 @@
 		}
 		alive := probe(ctx, client, last.Address)
 		d.mu.Lock()
+		n := d.current
+		if n != nil && timer.Now()-n.dispatcher.LastAnswer() < probeTimeout {
+			alive = true
+		}
 		d.server.failedProbes++
 		if alive {
 			d.server.failedProbes = 0
 		}
 		failed := d.server.failedProbes
-		n := d.current
 		d.mu.Unlock()
 		if n == nil || d.draining.Load() {
 			return
 		}
 		switch {
+		case failed >= maxFailedProbes:
+			d.giveUp(n, "backend server does not answer")
 		case time.Since(at) > announceTimeout:
 			d.resign(n, "backend server stopped announcing itself")
-		case failed >= maxFailedProbes:
-			d.resign(n, "backend server does not answer")
 		}
 	})
 }
--- a/daemon/move.go
+++ b/daemon/move.go
@@ -141,9 +141,30 @@
 	return encoder.Ack{}
 }
 
-// resign gives up an incarnation whose backend server is lost or leaving: its ranges move to other members and it leaves.
-// A later announcement makes the process a new member.
+// resign ends an incarnation whose backend server is leaving: its ranges move to other members and it leaves. A later
+// announcement makes the process a new member.
 func (d *Daemon) resign(n *incarnation, why string) {
+	d.resignAfter(n, why, func(context.Context) {})
+}
+
+// giveUp resigns for a backend server that doesn't answer. A server that checks grants refuses what it accepted once the
+// range has a newer epoch; with any other, the ranges move when the deadlines of all accepted requests have passed.
+func (d *Daemon) giveUp(n *incarnation, why string) {
+	d.resignAfter(n, why, func(ctx context.Context) {
+		n.dispatcher.Abandon()
+		if n.server.Fenced || !n.dispatcher.Answers() {
+			return
+		}
+		var wait time.Duration
+		d.state.View(func(s *applier.State) { wait = s.Configuration.Services[n.server.Service].MaxRequest.Value() })
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+	})
+}
+
+func (d *Daemon) resignAfter(n *incarnation, why string, prepare func(context.Context)) {
 	if n.leaving.Swap(true) {
 		return
 	}
@@ -154,6 +175,7 @@
 	d.tasks.Go(func() {
 		ctx, cancel := d.background()
 		defer cancel()
+		prepare(ctx)
 		if err := d.leave(ctx, n); err != nil {
 			d.log("state", "resignation failed", "member", n.id, "err", err)
 		}
--- a/dispatcher/backend.go
+++ b/dispatcher/backend.go
@@ -101,3 +101,11 @@
 	_ = connection.Close()
 	return false
 }
+
+// Answers reports whether the backend server takes connections.
+func (d *Dispatcher) Answers() bool {
+	d.mu.Lock()
+	address := d.address
+	d.mu.Unlock()
+	return !d.backend.refusesConnections(address)
+}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -58,6 +59,12 @@
 	suspects  *suspects
 	observe   func(p hasher.Position)
 
+	// abandoned ends when the backend server is given up; it ends the calls to it.
+	abandoned context.Context
+	abandon   context.CancelFunc
+	// lastAnswer is the time of the backend server's last answer by the clock of package timer.
+	lastAnswer atomic.Int64
+
 	mu      sync.Mutex
 	address netip.AddrPort
 }
@@ -72,7 +79,9 @@
 
 // New returns a dispatcher without a backend server.
 func New(c Config) *Dispatcher {
+	abandoned, abandon := context.WithCancel(context.Background())
 	return &Dispatcher{
+		abandoned: abandoned, abandon: abandon,
 		config: c, gate: newGate(c.Admission), backend: newBackend(c.Connections),
 		ownership: ownership{inFlight: map[uint64]hasher.Position{}, withheld: map[applier.Offset]time.Duration{}},
 		rows:      newRows(),
@@ -109,6 +118,16 @@
 // Lost reports whether the backend server refused connections since it last announced itself.
 func (d *Dispatcher) Lost() bool { return d.backend.lost.Load() }
 
+// Abandon gives the backend server up: calls to it end with an unknown outcome and new requests are refused. Requests that
+// it accepted may still run until their deadlines.
+func (d *Dispatcher) Abandon() {
+	d.backend.lost.Store(true)
+	d.abandon()
+}
+
+// LastAnswer returns the time of the backend server's last answer by the clock of package timer, or zero.
+func (d *Dispatcher) LastAnswer() time.Duration { return time.Duration(d.lastAnswer.Load()) }
+
 // InFlight returns the number of keyed requests between their ownership check and their end.
 func (d *Dispatcher) InFlight() int {
 	d.ownership.mu.Lock()
@@ -180,7 +199,7 @@
 	if j.head.Target != d.config.Self() || j.head.Service != d.config.Service {
 		return d.refuse(j, encoder.NotOwner)
 	}
-	if d.backend.lost.Load() {
+	if d.backend.lost.Load() || d.abandoned.Err() != nil {
 		return d.refuse(j, encoder.BackendLost)
 	}
 	if j.head.Keyed {
@@ -226,6 +245,7 @@
 	// the call would otherwise send the request after a successor has waited that time out.
 	ctx, cancel := context.WithTimeout(ctx, d.maxRequest(j.head.Service))
 	defer cancel()
+	defer context.AfterFunc(d.abandoned, cancel)()
 	// The lease may have lapsed and the range may have moved while the request waited.
 	if j.head.Keyed {
 		a, reason := d.check(j.head.Service, j.head.At)
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -73,6 +73,14 @@
 // failed handles a call without an answer: the server crashed, the connection broke, or the time ran out.
 func (d *Dispatcher) failed(ctx context.Context, j *job, x exchange, settle func(ending), r running, release func(bool)) error {
 	defer release(false)
+	if d.abandoned.Err() != nil {
+		d.suspects.cancel(r)
+		settle(ending{dispatched: x.connected})
+		if !x.connected {
+			return d.refuse(j, encoder.BackendLost)
+		}
+		return d.respond(j, encoder.Response{Outcome: encoder.Unknown, Reason: encoder.BackendLost})
+	}
 	if ctx.Err() != nil {
 		d.suspects.cancel(r)
 		settle(ending{dispatched: x.connected})
@@ -113,6 +121,7 @@
 		settle(ending{dispatched: true})
 		return d.respond(j, encoder.Response{Outcome: encoder.Unknown, Reason: encoder.NoLease})
 	}
+	d.lastAnswer.Store(int64(timer.Now()))
 	j.outcome = encoder.Answered
 	length := r.ContentLength
 	if j.head.Method == http.MethodHead {
