--- a/daemon/admin.go
+++ b/daemon/admin.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net/http"
 	"runtime"
 	"time"
@@ -131,8 +132,14 @@
 	return dump
 }
 
-// learnLoad keeps what another member said about its backend server.
+// learnLoad keeps what another member said about its backend server. It drops values that no process sends; one NaN would
+// make the whole dump fail.
 func (d *Daemon) learnLoad(id applier.MemberID, load encoder.Load) {
+	known := false
+	d.state.View(func(s *applier.State) { _, known = s.Members[id] })
+	if !known || load.Running < 0 || load.Queued < 0 || !(load.Rate >= 0 && load.Rate <= math.MaxFloat64) {
+		return
+	}
 	d.loadsMu.Lock()
 	defer d.loadsMu.Unlock()
 	d.loads[id] = memberLoad{load: load, at: time.Now()}
--- /dev/null
+++ b/launcher/badpeer_test.go
@@ -0,0 +1,149 @@
+package launcher
+
+import (
+	"bytes"
+	"context"
+	"math"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"hibiscusline/encoder"
+	"hibiscusline/transporter"
+)
+
+// testForeignCertificate: a peer with a certificate of another authority must get no answer to anything.
+func testForeignCertificate(t *testing.T, b *badInputFleet) {
+	other, err := transporter.NewAuthority(time.Hour)
+	require.NoError(t, err)
+	p := b.peer(t, other)
+	_, err = exchangeFrame(t, p, b.Nodes[0], frame(t, encoder.StateQuery{}), true)
+	require.Error(t, err)
+}
+
+func frame(t *testing.T, m encoder.Message) []byte {
+	var buffer bytes.Buffer
+	require.NoError(t, encoder.Write(&buffer, m))
+	return buffer.Bytes()
+}
+
+// exchangeFrame sends bytes on a new stream and returns the answer.
+func exchangeFrame(t *testing.T, p *transporter.Transporter, n *Node, data []byte, end bool) (encoder.Message, error) {
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	stream, err := p.Open(ctx, n.Settings.QUIC)
+	if err != nil {
+		return nil, err
+	}
+	defer stream.CancelWrite(1)
+	defer stream.CancelRead(1)
+	assert.NoError(t, stream.SetDeadline(time.Now().Add(20*time.Second)))
+	if _, err := stream.Write(data); err != nil {
+		return nil, err
+	}
+	if end {
+		assert.NoError(t, stream.Close())
+	}
+	message, err := encoder.Read(stream)
+	if err != nil {
+		assert.NotErrorIs(t, err, os.ErrDeadlineExceeded, "the stream was left open")
+	}
+	return message, err
+}
+
+// testBadFrames: frames that are cut, unknown, too long or not CBOR must end their stream, also when the peer keeps it
+// open.
+func testBadFrames(t *testing.T, b *badInputFleet) {
+	p := b.peer(t, b.authority)
+	// A frame that stops ends only at its deadline, so all cases run at once.
+	var cases sync.WaitGroup
+	whole := frame(t, encoder.Request{Service: "order-desk", Method: "GET", Path: "/"})
+	for _, c := range []struct {
+		data []byte
+		end  bool
+	}{
+		{whole[:3], true},
+		{whole[:len(whole)-1], true},
+		{[]byte{0, 0, 0, 0, 0}, false},
+		{[]byte{255, 0, 0, 0, 1, 0xa0}, false},
+		{[]byte{1, 0xff, 0xff, 0xff, 0xff}, false},
+		{[]byte{1, 0x01, 0x00, 0x00, 0x00, 0xa0}, true},
+		{[]byte{1, 0, 0, 0, 1, 0xff}, false},
+		{append([]byte{1, 0, 0, 0, 9}, 0x9b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff), false},
+		{append([]byte{1, 0, 0, 0x10, 0}, bytes.Repeat([]byte{0x81}, 0x1000)...), false},
+		{whole[:len(whole)-1], false},
+		{whole[:1], false},
+	} {
+		cases.Go(func() {
+			_, err := exchangeFrame(t, p, b.Nodes[0], c.data, c.end)
+			assert.Error(t, err, "%x", c.data[:min(len(c.data), 20)])
+		})
+	}
+	cases.Wait()
+	for _, m := range []encoder.Message{encoder.Ack{}, encoder.State{Encoded: []byte{1}}, encoder.Response{}, encoder.Records{}} {
+		answer, err := exchangeFrame(t, p, b.Nodes[0], frame(t, m), true)
+		require.NoError(t, err)
+		require.Equal(t, encoder.Ack{Refused: "message is not a question"}, answer)
+	}
+}
+
+// testBadPeerRequests: the owner must not rely on the checks of the entry.
+func testBadPeerRequests(t *testing.T, b *badInputFleet) {
+	p := b.peer(t, b.authority)
+	n := b.Nodes[2]
+	good := encoder.Request{
+		Service: "pattern-archive", Method: "GET", Path: "/x", Rank: "pattern", Remaining: time.Second, Target: b.members[n.Name],
+	}
+	answer, err := exchangeFrame(t, p, n, frame(t, good), true)
+	require.NoError(t, err)
+	require.Equal(t, encoder.Answered, answer.(encoder.Response).Outcome)
+	for name, change := range map[string]func(*encoder.Request){
+		"rank":     func(r *encoder.Request) { r.Rank = "a\"} 1\nb{x=\"" },
+		"method":   func(r *encoder.Request) { r.Method = "G E T" },
+		"path":     func(r *encoder.Request) { r.Path = "@127.0.0.1:1/" },
+		"escape":   func(r *encoder.Request) { r.Path = "/%zz" },
+		"header":   func(r *encoder.Request) { r.Header = map[string][]string{"X\r\nY": {"z"}} },
+		"value":    func(r *encoder.Request) { r.Header = map[string][]string{"X": {"a\r\nb: c"}} },
+		"past":     func(r *encoder.Request) { r.Remaining = math.MinInt64 },
+		"keyed":    func(r *encoder.Request) { r.Keyed = true },
+		"once":     func(r *encoder.Request) { r.IdempotencyKey = "x" },
+		"target":   func(r *encoder.Request) { r.Target++ },
+		"service":  func(r *encoder.Request) { r.Service = "order-desk" },
+		"too long": func(r *encoder.Request) { r.Length, r.Method = 1<<62, "POST" },
+	} {
+		request := good
+		change(&request)
+		answer, err := exchangeFrame(t, p, n, frame(t, request), true)
+		require.NoError(t, err, name)
+		response := answer.(encoder.Response)
+		require.NotEqual(t, encoder.Answered, response.Outcome, name)
+		if name != "too long" {
+			require.Equal(t, encoder.NotRun, response.Outcome, name)
+		}
+		require.NotEqual(t, encoder.NoReason, response.Reason, name)
+	}
+}
+
+// testBadDatagrams: datagrams that are not CBOR, or hold values that no process sends, must not disturb leases or the
+// state dump.
+func testBadDatagrams(t *testing.T, b *badInputFleet) {
+	p := b.peer(t, b.authority)
+	n := b.Nodes[0]
+	_, err := exchangeFrame(t, p, n, frame(t, encoder.StateQuery{}), true)
+	require.NoError(t, err)
+	strange := encoder.Datagram{
+		From: 1, Applied: math.MaxUint64, Lease: []byte{0xff}, Load: &encoder.Load{Running: -1, Rate: math.NaN()},
+	}
+	encoded, err := encoder.EncodeDatagram(strange)
+	require.NoError(t, err)
+	for _, data := range [][]byte{{}, {0}, bytes.Repeat([]byte{0x81}, 1000), {0xbf}, encoded} {
+		p.SendDatagram(n.Settings.QUIC, data)
+	}
+	// A stream that is opened later shows that the datagrams were taken.
+	_, err = exchangeFrame(t, p, n, frame(t, encoder.Fetch{From: math.MaxUint64}), true)
+	require.NoError(t, err)
+}
