--- a/dispatcher/backend.go
+++ b/dispatcher/backend.go
@@ -59,6 +59,8 @@
 	err      error
 	// connected means that the request may have reached the server.
 	connected bool
+	// malformed means that the head makes no HTTP request. Nothing was sent.
+	malformed bool
 }
 
 func (b *backend) call(ctx context.Context, address netip.AddrPort, head encoder.Request, a applier.Assignment, token string, body io.Reader) exchange {
@@ -69,12 +71,16 @@
 	target := "http://" + address.String() + head.Path
 	request, err := http.NewRequestWithContext(ctx, head.Method, target, opaqueBody{body})
 	if err != nil {
-		return exchange{err: err}
+		return exchange{err: err, malformed: true}
 	}
 	request.ContentLength = head.Length
 	for name, values := range head.Header {
 		request.Header[name] = values
 	}
+	// What a caller sent under the names of a grant must not reach a backend server that checks grants.
+	request.Header.Del(HeaderRange)
+	request.Header.Del(HeaderEpoch)
+	request.Header.Del(HeaderDeadline)
 	request.Header.Set(HeaderService, head.Service)
 	request.Header.Set(HeaderParent, token)
 	if head.Keyed {
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -81,6 +81,11 @@
 		}
 		return d.respond(j, encoder.Response{Outcome: encoder.Unknown, Reason: encoder.BackendLost})
 	}
+	if x.malformed {
+		d.suspects.cancel(r)
+		settle(ending{})
+		return d.refuse(j, encoder.BadRequest)
+	}
 	if ctx.Err() != nil {
 		d.suspects.cancel(r)
 		settle(ending{dispatched: x.connected})
