--- a/daemon/choose.go
+++ b/daemon/choose.go
@@ -7,10 +7,13 @@
 	"sync"
 	"time"
 
+	"hibiscusline/admitter"
 	"hibiscusline/applier"
 	"hibiscusline/balancer"
 	"hibiscusline/encoder"
+	"hibiscusline/loader"
 	"hibiscusline/retrier"
+	"hibiscusline/router"
 	"hibiscusline/timer"
 )
 
@@ -22,6 +25,43 @@
 
 func newBudget() *budget { return &budget{budget: retrier.NewBudget(retrier.Config{})} }
 
+// unlimitedBudget is the baseline without a retry budget.
+type unlimitedBudget struct{}
+
+// Observe does nothing.
+func (unlimitedBudget) Observe(bool) {}
+
+// Retry allows every retry.
+func (unlimitedBudget) Retry() bool { return true }
+
+func budgetFor(b loader.BaselineSettings) router.Budget {
+	if b.UnlimitedRetries {
+		return unlimitedBudget{}
+	}
+	return newBudget()
+}
+
+// admissionPolicy returns the policy that the settings name; the loader has checked the name.
+func admissionPolicy(name string) admitter.Policy {
+	switch name {
+	case admitter.SingleQueue.String():
+		return admitter.SingleQueue
+	case admitter.Unlimited.String():
+		return admitter.Unlimited
+	}
+	return admitter.Ranked
+}
+
+func chooserPolicy(name string) balancer.Policy {
+	switch name {
+	case balancer.RoundRobin.String():
+		return balancer.RoundRobin
+	case balancer.ReportedLoad.String():
+		return balancer.ReportedLoad
+	}
+	return balancer.TwoChoices
+}
+
 // Observe counts the end of a first try.
 func (b *budget) Observe(success bool) {
 	b.mu.Lock()
@@ -62,10 +102,11 @@
 	seen map[applier.MemberID]time.Duration
 }
 
-func newChooser(zone string, reports func(applier.MemberID) (memberLoad, bool)) *chooser {
+func newChooser(zone string, policy balancer.Policy, reports func(applier.MemberID) (memberLoad, bool)) *chooser {
 	return &chooser{
-		zone: zone, reports: reports, chooser: balancer.NewChooser(balancer.ChooserConfig{Seed: rand.Uint64()}),
-		seen: map[applier.MemberID]time.Duration{},
+		zone: zone, reports: reports,
+		chooser: balancer.NewChooser(balancer.ChooserConfig{Seed: rand.Uint64(), Policy: policy}),
+		seen:    map[applier.MemberID]time.Duration{},
 	}
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -89,7 +89,7 @@
 		stopped: make(chan struct{}),
 	}
 	d.router = router.New(router.Config{
-		State: d.state, Exchanger: (*exchanger)(d), Chooser: newChooser(c.Settings.Zone, d.reportOf), Budget: newBudget(),
+		State: d.state, Exchanger: (*exchanger)(d), Chooser: newChooser(c.Settings.Zone, chooserPolicy(c.Settings.Baseline.Chooser), d.reportOf), Budget: budgetFor(c.Settings.Baseline),
 		Backoff: newBackoff(), Parents: d.parent, DefaultTimeout: c.Settings.Limits.DefaultTimeout,
 		ReplayLimit: c.Settings.Limits.ReplayLimit, Metrics: d.metrics,
 	})
--- a/launcher/fleet.go
+++ b/launcher/fleet.go
@@ -266,6 +266,7 @@
 			"max_connections": s.Limits.MaxConnections,
 		},
 		"drain_timeout": s.DrainTimeout.String(),
+		"baseline":      s.Baseline,
 	}, "", "  ")
 	if err != nil {
 		return "", err
--- a/loader/daemon.go
+++ b/loader/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -30,6 +31,21 @@
 	Limits LimitSettings    `json:"limits"`
 	// DrainTimeout bounds the time that a planned stop waits for requests in flight.
 	DrainTimeout time.Duration `json:"drain_timeout"`
+	// Baseline is for experiments only.
+	Baseline BaselineSettings `json:"baseline"`
+}
+
+// BaselineSettings replace policies by plain ones, so that experiments can compare them. The zero value keeps the normal
+// policies. They are not meant for production and operators' documentation leaves them out.
+type BaselineSettings struct {
+	// Admission is empty or ranked, single_queue, unlimited.
+	Admission string `json:"admission"`
+	// Chooser is empty or two_choices, round_robin, reported_load.
+	Chooser string `json:"chooser"`
+	// Static turns moves of ranges for load off.
+	Static bool `json:"static"`
+	// UnlimitedRetries turns the retry budget off.
+	UnlimitedRetries bool `json:"unlimited_retries"`
 }
 
 // LogSettings say where the platform's log is.
@@ -118,6 +134,8 @@
 	c.duration("limits.default_timeout", s.Limits.DefaultTimeout, time.Millisecond, maxDuration)
 	c.count("limits.max_connections", s.Limits.MaxConnections, 1, maxCount)
 	c.duration("drain_timeout", s.DrainTimeout, 0, maxDuration)
+	c.choice("baseline.admission", s.Baseline.Admission, "ranked", "single_queue", "unlimited")
+	c.choice("baseline.chooser", s.Baseline.Chooser, "two_choices", "round_robin", "reported_load")
 	return c.problems
 }
 
@@ -174,3 +192,8 @@
 func (c *fieldChecker) count(path string, value, least, most int) {
 	c.require(value >= least && value <= most, path, strconv.Itoa(value), fmt.Sprintf("%d to %d", least, most))
 }
+
+// choice checks a name that may be empty for the default.
+func (c *fieldChecker) choice(path, value string, allowed ...string) {
+	c.require(value == "" || slices.Contains(allowed, value), path, strconv.Quote(value), strings.Join(allowed, ", "))
+}
