--- a/applier/apply.go
+++ b/applier/apply.go
@@ -188,6 +188,9 @@
 	if err != nil {
 		return err
 	}
+	if s.Version > 0 && !slices.Contains(s.Configuration.Policy.Operators, r.Operator) {
+		return errors.Errorf("%q is not an operator of the configuration in force", r.Operator)
+	}
 	s.remove(m, offset, Evicted)
 	s.release(m, offset, Evicted)
 	return nil
@@ -198,6 +201,7 @@
 	delete(s.Members, m.ID)
 	s.Removals = appendBounded(s.Removals, Removal{
 		ID: m.ID, Name: m.Name, Guardians: m.Guardians, Fenced: m.Fenced, Offset: offset, Cause: cause,
+		GuardianVersion: m.GuardianVersion,
 	}, maxRemovals)
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -30,6 +30,10 @@
 	Logger   log.Logger
 }
 
+// ErrKilled is the cancellation cause that makes Run end at once, as if the process were killed: it hands nothing over,
+// finishes no request and doesn't leave. It serves tools that run several daemons in one process.
+var ErrKilled = errors.New("killed")
+
 // Daemon is one hibiscusd.
 type Daemon struct {
 	config    Config
@@ -61,6 +65,8 @@
 
 	storeMu sync.Mutex
 	store   *deduper.Store
+	// completeAt is the guardian version at which each owner last declared its rows complete or incomplete here.
+	completeAt map[applier.MemberID]applier.Offset
 
 	loadsMu sync.Mutex
 	loads   map[applier.MemberID]memberLoad
@@ -77,16 +83,17 @@
 // New returns a daemon that is not yet listening.
 func New(c Config) *Daemon {
 	d := &Daemon{
-		config:  c,
-		logger:  log.With(c.Logger, "name", c.Settings.Name),
-		metrics: metrics.NewSet(),
-		client:  appender.New(appender.Config{Address: c.Settings.Log.Address, Stream: c.Settings.Log.Stream}),
-		state:   &follower.Follower{},
-		kicks:   make(chan struct{}, 1),
-		behind:  make(chan netip.AddrPort, 16),
-		store:   deduper.NewStore(deduper.Limits{}),
-		loads:   map[applier.MemberID]memberLoad{},
-		stopped: make(chan struct{}),
+		config:     c,
+		logger:     log.With(c.Logger, "name", c.Settings.Name),
+		metrics:    metrics.NewSet(),
+		client:     appender.New(appender.Config{Address: c.Settings.Log.Address, Stream: c.Settings.Log.Stream}),
+		state:      &follower.Follower{},
+		kicks:      make(chan struct{}, 1),
+		behind:     make(chan netip.AddrPort, 16),
+		store:      deduper.NewStore(deduper.Limits{}),
+		completeAt: map[applier.MemberID]applier.Offset{},
+		loads:      map[applier.MemberID]memberLoad{},
+		stopped:    make(chan struct{}),
 	}
 	d.router = router.New(router.Config{
 		State: d.state, Exchanger: (*exchanger)(d), Chooser: newChooser(c.Settings.Zone, chooserPolicy(c.Settings.Baseline.Chooser), d.reportOf), Budget: budgetFor(c.Settings.Baseline),
@@ -118,12 +125,17 @@
 	}
 	background, cancel := context.WithCancel(context.Background())
 	d.registerGauges()
-	for _, task := range []func(context.Context){d.followLog, d.followPeers, d.watchState, d.tickLease, d.tickAdmission, d.tickBalance, d.watchBackend, d.keepCheckpoints} {
+	for _, task := range []func(context.Context){d.followLog, d.followPeers, d.watchState, d.tickLease, d.tickAdmission, d.tickBalance, d.watchBackend, d.expireRows, d.keepCheckpoints} {
 		d.tasks.Go(func() { task(background) })
 	}
 	d.log("state", "started", "listen", d.config.Settings.Listen, "quic", d.transport.Address())
 	<-ctx.Done()
-	stopErr := d.stop(servers)
+	var stopErr error
+	if errors.Is(context.Cause(ctx), ErrKilled) {
+		servers.close()
+	} else {
+		stopErr = d.stop(servers)
+	}
 	cancel()
 	close(d.stopped)
 	d.tasks.Wait()
@@ -148,6 +160,14 @@
 	admin   *http.Server
 }
 
+// close cuts all connections.
+func (s *servers) close() {
+	for _, server := range []*http.Server{s.callers, s.local, s.admin} {
+		// Nothing is lost by an error here, since no request is to be finished.
+		_ = server.Close()
+	}
+}
+
 func (d *Daemon) listen() (*servers, error) {
 	limits := d.config.Settings.Limits
 	protocols := &http.Protocols{}
--- a/daemon/member.go
+++ b/daemon/member.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -40,7 +41,9 @@
 	// synchronized is the guardian version whose guardians have all rows.
 	synchronized  atomic.Uint64
 	synchronizing atomic.Bool
-	fetching      atomic.Bool
+	// nextSync is the time before which the guardians are not told all rows again.
+	nextSync atomic.Int64
+	fetching atomic.Bool
 }
 
 // ValidUntil returns the end of the lease by the clock of package timer.
@@ -99,7 +102,7 @@
 	defer cancel()
 	result, err := d.commit(ctx, applier.Join{Member: applier.Member{
 		ID: n.id, Name: d.config.Settings.Name, Zone: d.config.Settings.Zone, Service: n.server.Service,
-		Address: d.transport.Address(), Admin: d.config.Settings.Admin, Slots: n.server.Slots, Fenced: n.server.Fenced,
+		Address: d.address(), Admin: d.config.Settings.Admin, Slots: n.server.Slots, Fenced: n.server.Fenced,
 	}})
 	if err != nil || !result.Accepted {
 		d.log("state", "join failed", "member", n.id, "reason", result.Reason, "err", err)
@@ -113,6 +116,14 @@
 	}
 }
 
+// address returns the address at which peers reach this process.
+func (d *Daemon) address() netip.AddrPort {
+	if a := d.config.Settings.Advertise; a.IsValid() {
+		return a
+	}
+	return d.transport.Address()
+}
+
 // background returns a context that ends when the daemon has stopped.
 func (d *Daemon) background() (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/experimenter/flood.go
+++ b/experimenter/flood.go
@@ -158,7 +158,7 @@
 		run.Cases[i].compare(run.Cases[0])
 	}
 	for _, f := range run.Cases {
-		_, _ = fmt.Fprintf(o.Progress, "%s %s %v %gx (sent %.1fx): urgent within target %.3f, orders kept %.3f, goodput %.3f, floors %.2f, kept %.2f\n",
+		_, _ = fmt.Fprintf(o.Progress, "%s %s %v %gx (sent %.1fx): urgent within target %.3f, orders kept %.3f, goodput %.3f, floors %v, kept %v\n",
 			c.name, baseline.Admission, f.Flooded, f.Times, f.SentTimes, f.UrgentWithinTarget, f.OrdersKept, f.Goodput, f.Floors, f.Kept)
 	}
 	return run, nil
@@ -280,7 +280,7 @@
 				missed = append(missed, fmt.Sprintf("%s: goodput is %.3f of the capacity", name, f.Goodput))
 			}
 			if !f.FloorsKept {
-				missed = append(missed, fmt.Sprintf("%s: floors are %.3f", name, f.Floors))
+				missed = append(missed, fmt.Sprintf("%s: floors are %v", name, f.Floors))
 			}
 			continue
 		}
--- a/launcher/node.go
+++ b/launcher/node.go
@@ -32,6 +32,7 @@
 	Server   *emulator.Server
 
 	fleet      *Fleet
+	network    *network
 	stopServer context.CancelFunc
 	serverDone chan struct{}
 
@@ -42,7 +43,7 @@
 // process is one run of a hibiscusd.
 type process struct {
 	command *exec.Cmd
-	cancel  context.CancelFunc
+	cancel  context.CancelCauseFunc
 	done    chan struct{}
 	err     error
 	frozen  bool
@@ -68,12 +69,15 @@
 	}
 	s.Peers = []netip.AddrPort{}
 	for _, other := range f.Nodes[:min(len(f.Nodes), 3)] {
-		s.Peers = append(s.Peers, other.Settings.QUIC)
+		s.Peers = append(s.Peers, other.advertised())
 	}
 	if f.config.Edit != nil {
 		f.config.Edit(&s)
 	}
 	n := &Node{Name: name, Service: service.Name, Settings: s, fleet: f}
+	if n.network, err = f.disturb(&n.Settings); err != nil {
+		return nil, err
+	}
 	if err := n.startServer(service); err != nil {
 		return nil, err
 	}
@@ -178,7 +182,7 @@
 	if logger == nil {
 		logger = log.NewNopLogger()
 	}
-	ctx, cancel := context.WithCancel(n.fleet.context)
+	ctx, cancel := context.WithCancelCause(n.fleet.context)
 	p := &process{cancel: cancel, done: make(chan struct{})}
 	d := daemon.New(daemon.Config{Settings: n.Settings, Logger: logger})
 	go func() {
@@ -235,7 +239,7 @@
 	p := n.current()
 	n.expectEnd(p)
 	if p.cancel != nil {
-		p.cancel()
+		p.cancel(nil)
 	} else if err := p.command.Process.Signal(syscall.SIGTERM); err != nil {
 		return errors.Wrap(err, "stop hibiscusd")
 	}
@@ -247,7 +251,8 @@
 	}
 }
 
-// Kill ends the hibiscusd at once. Inside this process, where that is not possible, it stops it gracefully.
+// Kill ends the hibiscusd at once. One inside this process still closes its connections, so its peers notice its end
+// sooner than that of a killed process.
 func (n *Node) Kill() error {
 	p := n.current()
 	if p == nil {
@@ -255,7 +260,7 @@
 	}
 	n.expectEnd(p)
 	if p.cancel != nil {
-		p.cancel()
+		p.cancel(daemon.ErrKilled)
 		<-p.done
 		return nil
 	}
