balancer: moves for new members don't count against the moves per minute

The first member to join owned all 200 ranges and could give one other member its share per minute. Change: only changes for load are counted; a limit of zero still turns all moves off. Conclusion: TestFillIsNotLimited guards it.

--- a/balancer/planner.go
+++ b/balancer/planner.go
@@ -105,9 +105,11 @@
 }
 
 // Plan returns what the owner should do now. An owner outside the zones of the placement rule gives all ranges away.
-// Otherwise, moves that give a new member its fair share come first; they are followed by
-// at most one change for load. Each Move or Split counts against the placement rule's moves per minute, however many
-// ranges it names; a limit of zero turns all of them off, so that operators place new members by hand.
+// Otherwise, moves that give a new member its fair share come first; they are followed by at most one change for load.
+// Each change for load counts against the placement rule's moves per minute, however many ranges it names. Moves for new
+// members and out of a zone don't count: there are no more of them than the change of members or of the rule demands, and
+// with a limit of one a new cluster of five members took minutes to spread. A limit of zero turns all of them off, so that
+// operators place new members by hand.
 func (p *Planner) Plan(now time.Duration, s *applier.State, self applier.MemberID, loads Loads) []Proposal {
 	member, present := s.Members[self]
 	if !present || s.Configuration == nil || len(s.Assignments[member.Service]) == 0 {
@@ -118,33 +120,33 @@
 	if member.Status != applier.Active {
 		return nil
 	}
+	limit := p.limit(s, member.Service)
+	if limit <= 0 {
+		return nil
+	}
+	if proposals := p.place(s, v, loads); len(proposals) > 0 {
+		return proposals
+	}
 	p.moves = slices.DeleteFunc(p.moves, func(t time.Duration) bool { return now-t >= time.Minute })
-	left := p.limit(s, member.Service) - len(p.moves)
-	if left <= 0 {
+	if len(p.moves) >= limit || !slices.Contains(v.members, v.self) {
 		return nil
 	}
-	proposals := p.propose(now, s, v, loads)
-	proposals = proposals[:min(left, len(proposals))]
-	for range proposals {
+	if proposal := p.relieve(now, v, loads); proposal != nil {
 		p.moves = append(p.moves, now)
+		return []Proposal{proposal}
 	}
-	return proposals
+	return nil
 }
 
-func (p *Planner) propose(now time.Duration, s *applier.State, v *view, loads Loads) (proposals []Proposal) {
+// place returns the moves that the members and the placement rule demand whatever the load is.
+func (p *Planner) place(s *applier.State, v *view, loads Loads) (proposals []Proposal) {
 	if !slices.Contains(v.members, v.self) {
 		for _, m := range Evacuate(s, v.self.ID) {
 			proposals = append(proposals, m)
 		}
 		return proposals
 	}
-	if proposals = p.fill(v, loads); len(proposals) > 0 {
-		return proposals
-	}
-	if proposal := p.relieve(now, v, loads); proposal != nil {
-		return []Proposal{proposal}
-	}
-	return nil
+	return p.fill(v, loads)
 }
 
 func (p *Planner) limit(s *applier.State, service string) int {
--- a/balancer/planner_test.go
+++ b/balancer/planner_test.go
@@ -250,6 +250,19 @@
 	}
 }
 
+// TestFillIsNotLimited guards against a new cluster in which the first member keeps nearly all ranges for minutes, because
+// the shares of the other members count as moves for load.
+func TestFillIsNotLimited(t *testing.T) {
+	c := newCluster(1, 200, 1, 1)
+	for range 4 {
+		c.join()
+	}
+	c.run(10)
+	for _, m := range c.state.MembersOf("stock") {
+		require.Len(t, c.state.Owned(m.ID), 40)
+	}
+}
+
 // TestSketch guards against hot keys that are missed, rates that are wrong or don't follow the load, and growing memory.
 func TestSketch(t *testing.T) {
 	s, random := NewSketch(time.Hour, SketchConfig{Keys: 64}), rand.New(rand.NewPCG(1, 1))
--- a/validator/objects.go
+++ b/validator/objects.go
@@ -74,7 +74,8 @@
 type Placement struct {
 	// Zones lists the availability zones that may own ranges. Empty means all.
 	Zones []string `json:"zones,omitempty" cbor:"1,keyasint,omitempty"`
-	// MaxMovesPerMinute caps automatic moves of ranges by one owner. Zero turns them off.
+	// MaxMovesPerMinute caps the changes for load by one owner: moves of ranges, and splits. Moves that give a new member
+	// its fair share or that empty a zone are not counted. Zero turns all automatic moves off.
 	MaxMovesPerMinute int `json:"max_moves_per_minute" cbor:"2,keyasint"`
 }
 
