--- a/launcher/fleet.go
+++ b/launcher/fleet.go
@@ -273,6 +273,7 @@
 			"max_connections": s.Limits.MaxConnections,
 		},
 		"drain_timeout": s.DrainTimeout.String(),
+		"baseline":      s.Baseline,
 	}
 	if s.Advertise.IsValid() {
 		fields["advertise"] = s.Advertise
