--- /dev/null
+++ b/experimenter/slopesnodes.go
@@ -0,0 +1,199 @@
+package experimenter
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"hibiscusline/launcher"
+)
+
+// clockTicks is the unit of CPU times in /proc on Linux, per second.
+const clockTicks = 100
+
+// counters are what a process has used since its start.
+type counters struct {
+	cpu         time.Duration
+	out, in     float64
+	packets     float64
+	log         float64
+	residentMB  float64
+	connections float64
+}
+
+func readCounters(ctx context.Context, n *launcher.Node) (counters, error) {
+	var c counters
+	var err error
+	if c.cpu, err = processCPU(n.PID()); err != nil {
+		return c, err
+	}
+	if c.residentMB, err = residentMB(n.PID()); err != nil {
+		return c, err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.Settings.Admin.String()+"/metrics", nil)
+	if err != nil {
+		return c, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return c, err
+	}
+	defer response.Body.Close()
+	into := map[string]*float64{
+		`hibiscus_wire_bytes{path="peers",direction="out"}`: &c.out,
+		`hibiscus_wire_bytes{path="peers",direction="in"}`:  &c.in,
+		`hibiscus_wire_bytes{path="log",direction="both"}`:  &c.log,
+		`hibiscus_connections`:                              &c.connections,
+	}
+	scanner := bufio.NewScanner(response.Body)
+	for scanner.Scan() {
+		name, value, _ := strings.Cut(scanner.Text(), " ")
+		if strings.HasPrefix(name, "hibiscus_wire_packets") {
+			v, err := strconv.ParseFloat(value, 64)
+			if err != nil {
+				return c, err
+			}
+			c.packets += v
+		}
+		if target := into[name]; target != nil {
+			if *target, err = strconv.ParseFloat(value, 64); err != nil {
+				return c, err
+			}
+		}
+	}
+	return c, scanner.Err()
+}
+
+// processCPU returns the user and system time of a process.
+func processCPU(pid int) (time.Duration, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, err
+	}
+	// The name in parentheses may hold spaces. User and system time are the 14th and 15th fields.
+	_, rest, _ := strings.Cut(string(data), ") ")
+	fields := strings.Fields(rest)
+	if len(fields) < 13 {
+		return 0, errors.New("the process statistics have too few fields")
+	}
+	var sum time.Duration
+	for _, field := range fields[11:13] {
+		ticks, err := strconv.ParseInt(field, 10, 64)
+		if err != nil {
+			return 0, err
+		}
+		sum += time.Duration(ticks) * time.Second / clockTicks
+	}
+	return sum, nil
+}
+
+// NodeCosts are costs of one process, as means over processes if not said otherwise.
+type NodeCosts struct {
+	// X is the size that the stage varies.
+	X          float64 `json:"x"`
+	CPUPercent float64 `json:"cpu_percent"`
+	MaxCPU     float64 `json:"max_cpu_percent"`
+	// Bytes are a second, with the headers of IP, UDP and TCP.
+	PeerOut float64 `json:"peer_out_bytes"`
+	PeerIn  float64 `json:"peer_in_bytes"`
+	Packets float64 `json:"peer_packets"`
+	// LogReader is the traffic with the log of the process with the most of it.
+	LogReader   float64 `json:"log_reader_bytes"`
+	ResidentMB  float64 `json:"resident_mb"`
+	MaxResident float64 `json:"max_resident_mb"`
+	Connections float64 `json:"connections"`
+}
+
+// observe measures processes for a time.
+func observe(ctx context.Context, x float64, nodes []*launcher.Node, span time.Duration) (NodeCosts, error) {
+	before := make([]counters, len(nodes))
+	started := make([]time.Time, len(nodes))
+	for i, n := range nodes {
+		var err error
+		if before[i], err = readCounters(ctx, n); err != nil {
+			return NodeCosts{}, err
+		}
+		started[i] = time.Now()
+	}
+	select {
+	case <-ctx.Done():
+		return NodeCosts{}, ctx.Err()
+	case <-time.After(span):
+	}
+	costs := NodeCosts{X: x}
+	for i, n := range nodes {
+		after, err := readCounters(ctx, n)
+		if err != nil {
+			return NodeCosts{}, err
+		}
+		costs.add(before[i], after, time.Since(started[i]).Seconds(), float64(len(nodes)))
+	}
+	return costs, nil
+}
+
+func (c *NodeCosts) add(before, after counters, seconds, nodes float64) {
+	cpu := 100 * (after.cpu - before.cpu).Seconds() / seconds
+	c.CPUPercent += cpu / nodes
+	c.MaxCPU = max(c.MaxCPU, cpu)
+	c.PeerOut += (after.out - before.out) / seconds / nodes
+	c.PeerIn += (after.in - before.in) / seconds / nodes
+	c.Packets += (after.packets - before.packets) / seconds / nodes
+	c.LogReader = max(c.LogReader, (after.log-before.log)/seconds)
+	c.ResidentMB += after.residentMB / nodes
+	c.MaxResident = max(c.MaxResident, after.residentMB)
+	c.Connections += after.connections / nodes
+}
+
+// Slope is the line of least squares through measured points.
+type Slope struct {
+	Base    float64 `json:"base"`
+	PerUnit float64 `json:"per_unit"`
+}
+
+func slopeOf(costs []NodeCosts, of func(NodeCosts) float64) Slope {
+	var meanX, meanY, covariance, variance float64
+	for _, c := range costs {
+		meanX += c.X / float64(len(costs))
+		meanY += of(c) / float64(len(costs))
+	}
+	for _, c := range costs {
+		covariance += (c.X - meanX) * (of(c) - meanY)
+		variance += (c.X - meanX) * (c.X - meanX)
+	}
+	s := Slope{Base: meanY}
+	if variance > 0 {
+		s.PerUnit = covariance / variance
+		s.Base -= s.PerUnit * meanX
+	}
+	return s
+}
+
+// Stage is a series of measurements at several sizes.
+type Stage struct {
+	Unit   string           `json:"unit"`
+	Points []NodeCosts      `json:"points"`
+	Slopes map[string]Slope `json:"slopes"`
+}
+
+func newStage(unit string, points []NodeCosts) Stage {
+	fields := map[string]func(NodeCosts) float64{
+		"cpu_percent":      func(c NodeCosts) float64 { return c.CPUPercent },
+		"peer_out_bytes":   func(c NodeCosts) float64 { return c.PeerOut },
+		"peer_in_bytes":    func(c NodeCosts) float64 { return c.PeerIn },
+		"log_reader_bytes": func(c NodeCosts) float64 { return c.LogReader },
+		"resident_mb":      func(c NodeCosts) float64 { return c.ResidentMB },
+	}
+	s := Stage{Unit: unit, Points: slices.Clone(points), Slopes: map[string]Slope{}}
+	for name, of := range fields {
+		s.Slopes[name] = slopeOf(points, of)
+	}
+	return s
+}
--- a/launcher/fleet.go
+++ b/launcher/fleet.go
@@ -43,6 +43,8 @@
 	Services      []Service
 	Zones         []string
 	Configuration validator.Configuration
+	// Prepare fills the log's stream instead of the publication of the configuration.
+	Prepare func(l *emulator.Log, stream string) error
 	// Command returns the command that runs hibiscusd with a settings file. Nil runs the daemons in this process.
 	Command func(settings string) *exec.Cmd
 	// Logger takes the log lines of daemons in this process. Nil drops them.
@@ -136,6 +138,9 @@
 }
 
 func (f *Fleet) publish(ctx context.Context) error {
+	if f.config.Prepare != nil {
+		return f.config.Prepare(f.Log, stream)
+	}
 	state := &follower.Follower{}
 	result, err := appender.Commit(ctx, f.Client, state, appender.NewEnvelope(applier.Propose{
 		Author: "launcher", Configuration: f.config.Configuration,
