--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -73,11 +73,6 @@
 // failed handles a call without an answer: the server crashed, the connection broke, or the time ran out.
 func (d *Dispatcher) failed(ctx context.Context, j *job, x exchange, settle func(ending), r running, release func(bool)) error {
 	defer release(false)
-	if x.malformed {
-		d.suspects.cancel(r)
-		settle(ending{})
-		return d.refuse(j, encoder.BadRequest)
-	}
 	if d.abandoned.Err() != nil {
 		d.suspects.cancel(r)
 		settle(ending{dispatched: x.connected})
@@ -86,6 +81,11 @@
 		}
 		return d.respond(j, encoder.Response{Outcome: encoder.Unknown, Reason: encoder.BackendLost})
 	}
+	if x.malformed {
+		d.suspects.cancel(r)
+		settle(ending{})
+		return d.refuse(j, encoder.BadRequest)
+	}
 	if ctx.Err() != nil {
 		d.suspects.cancel(r)
 		settle(ending{dispatched: x.connected})
