--- a/emulator/server.go
+++ b/emulator/server.go
@@ -119,6 +119,13 @@
 // Ledger returns the ledger that the server writes.
 func (s *Server) Ledger() *Ledger { return s.config.Ledger }
 
+// Address returns the announced address. It is not valid before Run if it was not configured.
+func (s *Server) Address() netip.AddrPort {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.address
+}
+
 // Counts returns the counters.
 func (s *Server) Counts() ServerCounts {
 	s.mutex.Lock()
