experimenter: overhead measures with a key that stays

The first run showed 5 us of processor time a request at the owner of the forwarded path: the hot key had been moved to the entry by the balancer, so the two paths were swapped. Moves for load are turned off in its configuration, and the run fails if the owner changes.

--- a/experimenter/overhead.go
+++ b/experimenter/overhead.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -95,6 +96,12 @@
 		return nil, err
 	}
 	c := all[0]
+	// The key stays where it is although it is hot, since the paths differ only in the place of its owner.
+	c.configuration.Placements = maps.Clone(c.configuration.Placements)
+	for name, p := range c.configuration.Placements {
+		p.MaxMovesPerMinute = 0
+		c.configuration.Placements[name] = p
+	}
 	f, err := launcher.Start(ctx, launcher.Config{
 		Services: []launcher.Service{{Name: c.stock, Servers: 2, Slots: overheadSlots, Connections: 2 * overheadSlots}},
 		Zones:    c.zones[:2], Configuration: c.configuration, Seed: o.Seed, Command: oneCore(o.Command),
@@ -142,6 +149,13 @@
 			if err != nil {
 				return result, errors.WithMessage(err, p.name)
 			}
+			now, _, err := f.Owner(ctx, service, key)
+			if err != nil {
+				return result, err
+			}
+			if now.ID != member.ID {
+				return result, errors.New("the key moved during the measurement")
+			}
 			result.Loss += lost
 			p.costs = append(p.costs, cost)
 			progressf(o, "round %d, %s: closed loop %.0f requests/s, open loop p50 %.2f ms, p99 %.2f ms\n",
