--- a/launcher/node.go
+++ b/launcher/node.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -85,31 +86,52 @@
 	return n, n.Start()
 }
 
+// Ports of fleets lie below the range from which systems choose ports for outgoing connections, so that a port stays free
+// between the choice and its use.
+const (
+	lowestPort  = 10_000
+	highestPort = 32_000
+)
+
+var (
+	portsMu sync.Mutex
+	// nextPort starts at random, since several programs on a machine may start fleets.
+	nextPort = lowestPort + rand.IntN(highestPort-lowestPort)
+)
+
 // freeAddress returns a loopback address whose port is free for TCP and UDP.
 func freeAddress() (netip.AddrPort, error) {
-	const attempts = 20
+	const attempts = 200
+	portsMu.Lock()
+	defer portsMu.Unlock()
 	var last error
 	for range attempts {
-		tcp, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return netip.AddrPort{}, err
+		if nextPort++; nextPort > highestPort {
+			nextPort = lowestPort
 		}
-		address := tcp.Addr().(*net.TCPAddr).AddrPort()
-		udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
-		if err == nil {
-			err = udp.Close()
-		}
-		if closeErr := tcp.Close(); err == nil {
-			err = closeErr
-		}
-		if err == nil {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(nextPort))
+		if last = checkFree(address); last == nil {
 			return address, nil
 		}
-		last = err
 	}
 	return netip.AddrPort{}, errors.Wrap(last, "find a free port")
 }
 
+func checkFree(address netip.AddrPort) error {
+	tcp, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return err
+	}
+	udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
+	if err == nil {
+		err = udp.Close()
+	}
+	if closeErr := tcp.Close(); err == nil {
+		err = closeErr
+	}
+	return err
+}
+
 func (n *Node) startServer(service Service) error {
 	f := n.fleet
 	fence := f.fences[service.Name]
--- /dev/null
+++ b/launcher/owner_test.go
@@ -0,0 +1,145 @@
+package launcher
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscusline/applier"
+	"hibiscusline/emulator"
+	"hibiscusline/validator"
+)
+
+// logOutage sets an outage of the log service.
+func (w *trial) logOutage(o emulator.Outage) {
+	require.NoError(w, w.Log.Change(func(s *emulator.LogSettings) { s.Down = o }))
+}
+
+// soleGuardian returns a guardian of a process when no two processes guard each other. Such pairs form while a fleet
+// starts; a pair that is lost at once needs an operator.
+func (w *trial) soleGuardian(n *Node) *Node {
+	w.await("end of mutual guards", func() bool {
+		mutual := false
+		w.state(func(s *applier.State) {
+			for id, m := range s.Members {
+				for _, g := range m.Guardians {
+					mutual = mutual || s.Members[g] != nil && s.Members[g].GuardedBy(id)
+				}
+			}
+		})
+		return !mutual
+	})
+	return w.guardians(n)[0]
+}
+
+// TestOneOwner guards against two owners of a key, and against keys that are left without one, while an owner is lost in
+// each way, under load and for servers that check grants and servers that don't.
+func TestOneOwner(t *testing.T) {
+	const key = "bolt-1"
+	lost := map[string]struct{ begin, end func(w *trial, n *Node) }{
+		"killed": {func(w *trial, n *Node) { require.NoError(w, n.Kill()) }, func(w *trial, n *Node) { require.NoError(w, n.Start()) }},
+		"frozen": {func(w *trial, n *Node) { require.NoError(w, n.Freeze()) }, func(w *trial, n *Node) { require.NoError(w, n.Thaw()) }},
+		"cut from peers": {
+			func(_ *trial, n *Node) { n.CutPeers(true, true) }, func(_ *trial, n *Node) { n.CutPeers(false, false) },
+		},
+		"cut from peers and log": {
+			func(_ *trial, n *Node) { n.CutLog(true); n.CutPeers(true, true) },
+			func(_ *trial, n *Node) { n.CutLog(false); n.CutPeers(false, false) },
+		},
+		"cut one way": {
+			func(_ *trial, n *Node) { n.CutPeers(false, true) }, func(_ *trial, n *Node) { n.CutPeers(false, false) },
+		},
+		"with its guardian": {
+			func(w *trial, n *Node) {
+				g := w.soleGuardian(n)
+				require.NoError(w, n.Kill())
+				require.NoError(w, g.Kill())
+			},
+			func(w *trial, n *Node) { require.NoError(w, n.Start()) },
+		},
+		"with both guardians": {
+			func(w *trial, n *Node) {
+				w.soleGuardian(n)
+				for _, g := range append(w.guardians(n), n) {
+					require.NoError(w, g.Kill())
+				}
+			},
+			func(w *trial, n *Node) { require.NoError(w, n.Start()) },
+		},
+	}
+	for name, fault := range lost {
+		for _, service := range []string{fenced, unfenced} {
+			t.Run(name+" "+service, func(t *testing.T) {
+				w := startTrial(t, 30*time.Millisecond, map[string]int{service: 5, unkeyed: 3})
+				stop := w.load()
+				old := w.owner(service, key)
+				fault.begin(w, old)
+				w.awaitAnswer(w.other("", old), service, key, old)
+				fault.end(w, old)
+				w.await("return as a new member", func() bool {
+					status, err := old.Status(w.ctx)
+					return err == nil && status.Member != 0 && status.Lease.Held && !status.Lease.Exempt
+				})
+				w.awaitAnswer(old, service, key, nil)
+				w.judge(stop())
+			})
+		}
+	}
+}
+
+// TestLiveOwnerKeepsServing guards against owners that stop because the log, or their way to it, is lost.
+func TestLiveOwnerKeepsServing(t *testing.T) {
+	faults := map[string]func(w *trial, n *Node){
+		"cut from the log": func(_ *trial, n *Node) { n.CutLog(true) },
+		"log refuses":      func(w *trial, _ *Node) { w.logOutage(emulator.Refuse) },
+		"log hangs":        func(w *trial, _ *Node) { w.logOutage(emulator.Hang) },
+		"log down and guardian killed": func(w *trial, n *Node) {
+			g := w.guardians(n)[0]
+			w.logOutage(emulator.Refuse)
+			require.NoError(w, g.Kill())
+		},
+	}
+	for name, begin := range faults {
+		t.Run(name, func(t *testing.T) {
+			w := startTrial(t, 2*time.Millisecond, map[string]int{fenced: 5})
+			const key = "order-1"
+			owner := w.owner(fenced, key)
+			var epoch applier.Offset
+			w.state(func(s *applier.State) { epoch = s.Applied })
+			begin(w, owner)
+			// The time is several lease terms, so that a lapse shows.
+			for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+				a := w.ask(w.ctx, w.other("", owner), fenced, key, "/items", "")
+				require.True(w, a.answered(), "%+v", a)
+				require.Equal(w, owner.Name, a.server)
+			}
+			w.logOutage(emulator.NoOutage)
+			owner.CutLog(false)
+			w.await("records after the outage", func() bool {
+				status, err := owner.Status(w.ctx)
+				return err == nil && status.Applied >= epoch && status.Lease.Held
+			})
+			w.judge()
+		})
+	}
+}
+
+// TestSuccessorWaitsForUnfencedServer guards against a successor that serves a key while a request of the frozen owner
+// still runs at a backend server that doesn't check grants.
+func TestSuccessorWaitsForUnfencedServer(t *testing.T) {
+	w := startTrial(t, time.Millisecond, map[string]int{unfenced: 4}, func(c *validator.Configuration) {
+		s := c.Services[unfenced]
+		s.MaxRequest = validator.Duration(3 * time.Second)
+		c.Services[unfenced] = s
+	})
+	const key = "bolt-1"
+	old := w.owner(unfenced, key)
+	require.NoError(w, old.Server.Change(func(s *emulator.ServerSettings) { s.ServiceTime = validator.Duration(2500 * time.Millisecond) }))
+	go w.ask(w.ctx, old, unfenced, key, "/items", "")
+	w.await("dispatch", func() bool { return len(w.Ledger.Report().Executions) == 1 })
+	require.NoError(w, old.Freeze())
+	w.awaitAnswer(w.other("", old), unfenced, key, old)
+	require.NoError(w, old.Thaw())
+	w.judge()
+}
--- a/transporter/authority.go
+++ b/transporter/authority.go
@@ -76,7 +76,11 @@
 		files.Key:         encodePEM("PRIVATE KEY", keyDER),
 	}
 	for path, data := range contents {
-		if err := os.WriteFile(path, data, 0o600); err != nil {
+		// Processes that started before may be reading the file of the authority now.
+		if err := os.WriteFile(path+".new", data, 0o600); err != nil {
+			return Files{}, errors.Wrap(err, "write credentials")
+		}
+		if err := os.Rename(path+".new", path); err != nil {
 			return Files{}, errors.Wrap(err, "write credentials")
 		}
 	}
