--- a/applier/fold_test.go
+++ b/applier/fold_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"hibiscusline/hasher"
+	_ "hibiscusline/seeder"
 	"hibiscusline/validator"
 )
 
@@ -93,7 +94,8 @@
 	case KindLeave:
 		return Leave{Member: id}
 	case KindTakeOver:
-		return TakeOver{Member: id, Version: version, AttestedBy: guardians}
+		attested := rapid.IntRange(0, 1).Draw(h.t, "attested") * len(guardians)
+		return TakeOver{Member: id, Version: version, AttestedBy: guardians[:attested]}
 	case KindMove:
 		r, owner := h.rangeOf(service)
 		return Move{Service: service, From: owner, To: id, Ranges: []RangeEpoch{r}}
@@ -185,20 +187,78 @@
 	}
 }
 
+// requireIndex guards against an index that has drifted from the members and assignments, which would place ranges
+// differently in a process that read a checkpoint.
+func requireIndex(t require.TestingT, s *State) {
+	plain := *s
+	plain.index = nil
+	for _, service := range []string{"stock", "orders"} {
+		require.Equal(t, plain.MembersOf(service), s.MembersOf(service))
+		var unowned []hasher.Position
+		for _, a := range s.Assignments[service] {
+			if a.Owner == 0 {
+				unowned = append(unowned, a.Range.Low)
+			}
+		}
+		require.Equal(t, unowned, s.index.unowned[service])
+	}
+	for id, m := range s.Members {
+		require.Equal(t, plain.Owned(id), s.Owned(id))
+		require.Len(t, s.index.list(m.Service, id), len(plain.Owned(id)))
+	}
+	require.Len(t, s.index.entries, len(s.Members))
+}
+
 func encoded(t require.TestingT, s *State) []byte {
 	data, err := s.Encode()
 	require.NoError(t, err)
 	return data
 }
 
+// made reports whether a record was made from the present state, which is the condition for accepting it.
+func (h *history) made(record Record) bool {
+	switch r := record.(type) {
+	case Propose:
+		return r.Base == h.state.Version
+	case SetGuardians:
+		m := h.state.Members[r.Member]
+		return m != nil && r.Version == m.GuardianVersion
+	case TakeOver:
+		m := h.state.Members[r.Member]
+		if m == nil {
+			return false
+		}
+		for _, g := range m.Guardians {
+			if h.state.Members[g] != nil && !slices.Contains(r.AttestedBy, g) {
+				return false
+			}
+		}
+		return r.Version == m.GuardianVersion
+	case Move:
+		return h.holds(r.Service, r.Ranges[0], r.From)
+	case Split:
+		a, _ := h.state.Lookup(r.Service, r.Range.Range.Low)
+		return h.holds(r.Service, r.Range, a.Owner)
+	}
+	return true
+}
+
+func (h *history) holds(service string, r RangeEpoch, owner MemberID) bool {
+	a, found := h.state.Lookup(service, r.Range.Low)
+	return found && a.Range == r.Range && a.Epoch == r.Epoch && a.Owner == owner
+}
+
 func (h *history) step(t *rapid.T) {
 	e, offset := h.envelope(), h.state.Applied+1
 	before, version, data := viewOf(&h.state), h.state.Version, encoded(t, &h.state)
 	_, duplicate := h.state.ResultOf(e.ID)
+	made := h.made(e.Record)
 	result := h.state.Apply(offset, e)
+	require.True(t, made || duplicate || !result.Accepted, "a record made from another state is accepted: %v", e.Record)
 	h.envelopes = append(h.envelopes, e)
 	requirePartition(t, &h.state)
 	requireEpochs(t, before, &h.state)
+	requireIndex(t, &h.state)
 	require.GreaterOrEqual(t, h.state.Version, version)
 	if duplicate {
 		require.Less(t, result.Offset, offset)
--- a/daemon/admin.go
+++ b/daemon/admin.go
@@ -52,9 +52,7 @@
 
 func (d *Daemon) answerMove(w http.ResponseWriter, r *http.Request) {
 	var m reporter.Move
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncement))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&m); err != nil {
+	if err := decodeBody(w, r, &m); err != nil {
 		writeRefusal(w, http.StatusBadRequest, "move: "+err.Error())
 		return
 	}
@@ -110,9 +108,12 @@
 
 func (d *Daemon) dump() Dump {
 	dump := Dump{
-		Status: d.status(), Uptime: time.Since(d.started).String(), Ready: d.state.Ready(), Loads: d.knownLoads(),
+		Status: d.status(), Uptime: time.Since(d.started).String(), Ready: d.state.Ready(), Loads: map[applier.MemberID]encoder.Load{},
 		Goroutines: runtime.NumGoroutine(), Peers: d.transport.Connections(),
 	}
+	for id, l := range d.reports() {
+		dump.Loads[id] = l.load
+	}
 	if n := d.incarnation(); n != nil {
 		load := n.dispatcher.Load()
 		dump.Load, dump.InFlight, dump.Admission = &load, n.dispatcher.InFlight(), n.dispatcher.Admission()
@@ -140,23 +141,36 @@
 // loadLifetime is how long a report of another member's load counts.
 const loadLifetime = 5 * time.Second
 
-func (d *Daemon) knownLoads() map[applier.MemberID]encoder.Load {
+// reports returns the recent load reports of other members.
+func (d *Daemon) reports() map[applier.MemberID]memberLoad {
 	d.loadsMu.Lock()
 	defer d.loadsMu.Unlock()
-	known := map[applier.MemberID]encoder.Load{}
+	known := make(map[applier.MemberID]memberLoad, len(d.loads))
 	for id, l := range d.loads {
 		if time.Since(l.at) > loadLifetime {
 			delete(d.loads, id)
 			continue
 		}
-		known[id] = l.load
+		known[id] = l
 	}
 	return known
 }
 
+func (d *Daemon) reportOf(id applier.MemberID) (memberLoad, bool) {
+	d.loadsMu.Lock()
+	defer d.loadsMu.Unlock()
+	l, known := d.loads[id]
+	return l, known
+}
+
 func (d *Daemon) registerGauges() {
 	d.metrics.NewGauge("hibiscus_applied_offset", func() float64 { return float64(d.state.Applied()) })
 	d.metrics.NewGauge("hibiscus_connections", func() float64 { return float64(d.transport.Connections()) })
+	d.metrics.NewGauge(`hibiscus_wire_bytes{path="peers",direction="out"}`, func() float64 { return float64(d.transport.Traffic().BytesSent) })
+	d.metrics.NewGauge(`hibiscus_wire_bytes{path="peers",direction="in"}`, func() float64 { return float64(d.transport.Traffic().BytesReceived) })
+	d.metrics.NewGauge(`hibiscus_wire_packets{path="peers",direction="out"}`, func() float64 { return float64(d.transport.Traffic().PacketsSent) })
+	d.metrics.NewGauge(`hibiscus_wire_packets{path="peers",direction="in"}`, func() float64 { return float64(d.transport.Traffic().PacketsReceived) })
+	d.metrics.NewGauge(`hibiscus_wire_bytes{path="log",direction="both"}`, func() float64 { return float64(d.client.Traffic()) })
 	d.metrics.NewGauge("hibiscus_lease_seconds", func() float64 {
 		n := d.incarnation()
 		if n == nil || n.ValidUntil() == leaser.Forever {
--- a/daemon/move.go
+++ b/daemon/move.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -9,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"hibiscusline/applier"
+	"hibiscusline/balancer"
 	"hibiscusline/deduper"
 	"hibiscusline/encoder"
 	"hibiscusline/hasher"
@@ -22,6 +22,8 @@
 	// leavePause is the time between the notice that this process drains and the close of its listener, in which
 	// callers finish with their open connections.
 	leavePause = 500 * time.Millisecond
+	// finishTimeout bounds the wait for requests in flight at a stop. It exceeds the longest timeout of a caller.
+	finishTimeout = time.Minute
 )
 
 // move gives ranges of this member to another one. No request of the ranges runs while they change hands.
@@ -39,13 +41,17 @@
 			if _, fetched := n.fetched.Load(a.Epoch); len(a.Lineage) > 0 && !fetched {
 				pending = pending || containsRange(ranges, a.Range)
 			}
+			if n.dispatcher.WithheldUntil(a.Epoch) > timer.Now() {
+				// The next owner would not wait for requests that may still run on the lost owner's server.
+				pending = pending || containsRange(ranges, a.Range)
+			}
 		}
 	})
 	if !present {
 		return errors.Errorf("member %s is not present", to)
 	}
 	if pending {
-		return errors.New("the idempotency rows of a range are still being fetched")
+		return errors.New("a range was taken over a moment ago and is not settled yet")
 	}
 	plain := make([]hasher.Range, len(ranges))
 	for i, r := range ranges {
@@ -135,9 +141,30 @@
 	return encoder.Ack{}
 }
 
-// resign gives up an incarnation whose backend server is lost or leaving: its ranges move to other members and it leaves.
-// A later announcement makes the process a new member.
+// resign ends an incarnation whose backend server is leaving: its ranges move to other members and it leaves. A later
+// announcement makes the process a new member.
 func (d *Daemon) resign(n *incarnation, why string) {
+	d.resignAfter(n, why, func(context.Context) {})
+}
+
+// giveUp resigns for a backend server that doesn't answer. A server that checks grants refuses what it accepted once the
+// range has a newer epoch; with any other, the ranges move when the deadlines of all accepted requests have passed.
+func (d *Daemon) giveUp(n *incarnation, why string) {
+	d.resignAfter(n, why, func(ctx context.Context) {
+		n.dispatcher.Abandon()
+		if n.server.Fenced || !n.dispatcher.Answers() {
+			return
+		}
+		var wait time.Duration
+		d.state.View(func(s *applier.State) { wait = s.Configuration.Services[n.server.Service].MaxRequest.Value() })
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+	})
+}
+
+func (d *Daemon) resignAfter(n *incarnation, why string, prepare func(context.Context)) {
 	if n.leaving.Swap(true) {
 		return
 	}
@@ -148,6 +175,7 @@
 	d.tasks.Go(func() {
 		ctx, cancel := d.background()
 		defer cancel()
+		prepare(ctx)
 		if err := d.leave(ctx, n); err != nil {
 			d.log("state", "resignation failed", "member", n.id, "err", err)
 		}
@@ -170,7 +198,7 @@
 	if err := d.handOver(ctx, n); err != nil {
 		return err
 	}
-	if err := n.dispatcher.Idle(ctx); err != nil {
+	if err := n.dispatcher.Close(ctx); err != nil {
 		return errors.Wrap(err, "wait for running requests")
 	}
 	d.awaitReplacement(ctx, n)
@@ -191,7 +219,8 @@
 func (d *Daemon) handOver(ctx context.Context, n *incarnation) error {
 	const retry = 100 * time.Millisecond
 	for {
-		groups := d.groupsFor(n)
+		var groups []balancer.MoveRanges
+		d.state.View(func(s *applier.State) { groups = balancer.Evacuate(s, n.id) })
 		if len(groups) == 0 {
 			if len(d.ownedRanges(n)) > 0 {
 				d.log("state", "no member can take the ranges", "member", n.id)
@@ -199,8 +228,8 @@
 			return nil
 		}
 		results := make(chan error, len(groups))
-		for to, ranges := range groups {
-			go func() { results <- d.move(ctx, n, to, ranges) }()
+		for _, g := range groups {
+			go func() { results <- d.move(ctx, n, g.Move.To, g.Move.Ranges) }()
 		}
 		failed := false
 		for range groups {
@@ -230,35 +259,6 @@
 	return owned
 }
 
-// groupsFor divides the ranges of a leaving member among the active members of its service, fewest ranges first.
-func (d *Daemon) groupsFor(n *incarnation) map[applier.MemberID][]applier.RangeEpoch {
-	owned := d.ownedRanges(n)
-	counts := map[applier.MemberID]int{}
-	var candidates []applier.MemberID
-	d.state.View(func(s *applier.State) {
-		for _, m := range s.MembersOf(n.server.Service) {
-			if m.Status == applier.Active && m.ID != n.id {
-				candidates = append(candidates, m.ID)
-			}
-		}
-		for _, a := range s.Assignments[n.server.Service] {
-			counts[a.Owner]++
-		}
-	})
-	groups := map[applier.MemberID][]applier.RangeEpoch{}
-	if len(candidates) == 0 {
-		return groups
-	}
-	for _, r := range owned {
-		to := slices.MinFunc(candidates, func(a, b applier.MemberID) int {
-			return cmp.Or(cmp.Compare(counts[a], counts[b]), cmp.Compare(a, b))
-		})
-		counts[to]++
-		groups[to] = append(groups[to], r)
-	}
-	return groups
-}
-
 // awaitReplacement waits a bounded time until no member counts on this one as its guardian.
 func (d *Daemon) awaitReplacement(ctx context.Context, n *incarnation) {
 	const bound = 2 * time.Second
@@ -293,10 +293,10 @@
 	if n := d.incarnation(); n != nil {
 		leaveErr = d.leave(ctx, n)
 	}
-	select {
-	case <-time.After(leavePause):
-	case <-ctx.Done():
-	}
+	time.Sleep(leavePause)
+	// Requests in flight get their own time: a log that is down uses up the time for leaving.
+	ctx, cancelFinish := context.WithTimeout(context.Background(), finishTimeout)
+	defer cancelFinish()
 	shutdownErr := s.callers.Shutdown(ctx)
 	for _, server := range []interface{ Shutdown(context.Context) error }{s.local, s.admin} {
 		if err := server.Shutdown(ctx); err != nil && shutdownErr == nil {
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -26,9 +26,6 @@
 
 // run sends an admitted request to the backend server and passes the answer on.
 func (d *Dispatcher) run(ctx context.Context, j *job, sink Sink, settle func(ending), fingerprint uint64, release func(bool)) error {
-	maxRequest := d.maxRequest(j.head.Service)
-	ctx, cancel := context.WithTimeout(ctx, maxRequest)
-	defer cancel()
 	token := d.parents.add(Parent{Rank: j.head.Rank, Deadline: j.deadline})
 	defer d.parents.remove(token)
 	running := d.suspects.start(fingerprint)
@@ -76,6 +73,19 @@
 // failed handles a call without an answer: the server crashed, the connection broke, or the time ran out.
 func (d *Dispatcher) failed(ctx context.Context, j *job, x exchange, settle func(ending), r running, release func(bool)) error {
 	defer release(false)
+	if d.abandoned.Err() != nil {
+		d.suspects.cancel(r)
+		settle(ending{dispatched: x.connected})
+		if !x.connected {
+			return d.refuse(j, encoder.BackendLost)
+		}
+		return d.respond(j, encoder.Response{Outcome: encoder.Unknown, Reason: encoder.BackendLost})
+	}
+	if x.malformed {
+		d.suspects.cancel(r)
+		settle(ending{})
+		return d.refuse(j, encoder.BadRequest)
+	}
 	if ctx.Err() != nil {
 		d.suspects.cancel(r)
 		settle(ending{dispatched: x.connected})
@@ -116,9 +126,15 @@
 		settle(ending{dispatched: true})
 		return d.respond(j, encoder.Response{Outcome: encoder.Unknown, Reason: encoder.NoLease})
 	}
+	d.lastAnswer.Store(int64(timer.Now()))
 	j.outcome = encoder.Answered
+	length := r.ContentLength
+	if j.head.Method == http.MethodHead {
+		// The Content-Length header of an answer to HEAD tells the size of a body that isn't sent.
+		length = 0
+	}
 	err := sink.Respond(encoder.Response{
-		Outcome: encoder.Answered, Status: r.StatusCode, Header: r.Header, Length: r.ContentLength,
+		Outcome: encoder.Answered, Status: r.StatusCode, Header: r.Header, Length: length,
 		Load: d.gate.load(), Applied: d.config.State.Applied(),
 	})
 	kept, readErr, writeErr := copyKeeping(sink, r.Body, d.keptBytes(j), err)
--- a/launcher/node.go
+++ b/launcher/node.go
@@ -44,7 +44,7 @@
 // process is one run of a hibiscusd.
 type process struct {
 	command *exec.Cmd
-	cancel  context.CancelFunc
+	cancel  context.CancelCauseFunc
 	done    chan struct{}
 	err     error
 	frozen  bool
@@ -86,31 +86,27 @@
 	return n, n.Start()
 }
 
-// Ports of fleets lie below the range from which systems choose ports for outgoing connections, so that a port stays free
-// between the choice and its use.
+// Ports of processes lie below the range from which the system takes those of outgoing connections. A port of that range
+// could be taken again between the check and the start of the process.
 const (
-	lowestPort  = 10_000
-	highestPort = 32_000
+	firstPort = 12000
+	lastPort  = 32000
 )
 
-var (
-	portsMu sync.Mutex
-	// nextPort starts at random, since several programs on a machine may start fleets.
-	nextPort = lowestPort + rand.IntN(highestPort-lowestPort)
-)
+// taken holds the ports that were handed out in this process.
+var taken sync.Map
 
 // freeAddress returns a loopback address whose port is free for TCP and UDP.
 func freeAddress() (netip.AddrPort, error) {
-	const attempts = 200
-	portsMu.Lock()
-	defer portsMu.Unlock()
+	const attempts = 100
 	var last error
 	for range attempts {
-		if nextPort++; nextPort > highestPort {
-			nextPort = lowestPort
+		port := uint16(firstPort + rand.IntN(lastPort-firstPort))
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port)
+		if last = checkFree(address); last != nil {
+			continue
 		}
-		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(nextPort))
-		if last = checkFree(address); last == nil {
+		if _, handedOut := taken.LoadOrStore(port, true); !handedOut {
 			return address, nil
 		}
 	}
@@ -204,7 +200,7 @@
 	if logger == nil {
 		logger = log.NewNopLogger()
 	}
-	ctx, cancel := context.WithCancel(n.fleet.context)
+	ctx, cancel := context.WithCancelCause(n.fleet.context)
 	p := &process{cancel: cancel, done: make(chan struct{})}
 	d := daemon.New(daemon.Config{Settings: n.Settings, Logger: logger})
 	go func() {
@@ -261,7 +257,7 @@
 	p := n.current()
 	n.expectEnd(p)
 	if p.cancel != nil {
-		p.cancel()
+		p.cancel(nil)
 	} else if err := p.command.Process.Signal(syscall.SIGTERM); err != nil {
 		return errors.Wrap(err, "stop hibiscusd")
 	}
@@ -273,7 +269,8 @@
 	}
 }
 
-// Kill ends the hibiscusd at once. Inside this process, where that is not possible, it stops it gracefully.
+// Kill ends the hibiscusd at once. One inside this process still closes its connections, so its peers notice its end
+// sooner than that of a killed process.
 func (n *Node) Kill() error {
 	p := n.current()
 	if p == nil {
@@ -281,7 +278,7 @@
 	}
 	n.expectEnd(p)
 	if p.cancel != nil {
-		p.cancel()
+		p.cancel(daemon.ErrKilled)
 		<-p.done
 		return nil
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -30,8 +31,8 @@
 
 // Budget limits retries. Its methods are safe for concurrent use.
 type Budget interface {
-	// Sent counts a first try.
-	Sent()
+	// Observe counts the end of a first try.
+	Observe(success bool)
 	// Retry takes one retry from the budget and reports whether there was one.
 	Retry() bool
 }
@@ -56,7 +57,9 @@
 	DefaultTimeout time.Duration
 	// ReplayLimit is the largest body that can be sent again, in bytes.
 	ReplayLimit int
-	Metrics     *metrics.Set
+	// MaxHeaderBytes bounds the request target and the headers, in bytes. Zero is no bound.
+	MaxHeaderBytes int
+	Metrics        *metrics.Set
 }
 
 // Router is the HTTP handler for callers.
@@ -64,6 +67,8 @@
 	config  Config
 	hints   hints
 	removed removals
+	// directory lists the active members of each service.
+	directory directory
 }
 
 // New returns a router.
@@ -74,26 +79,33 @@
 // ServeHTTP answers a caller's request.
 func (rt *Router) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
+	body := rt.takeBody(w, r)
 	c, err := rt.parse(r, started)
 	if err != nil {
+		body.closeUnless(body.end())
 		rt.answerFailure(w, err)
 		return
 	}
+	c.body = body.replayBody
 	if r.ContentLength != 0 {
-		// A caller that stops sending its body must not hold the request beyond its deadline. A connection that doesn't
-		// support deadlines is bounded by the server's own.
-		_ = http.NewResponseController(w).SetReadDeadline(c.deadline.Add(time.Second))
+		// A caller that stops sending its body must not hold the request beyond its deadline.
+		body.setDeadline(c.deadline.Add(time.Second))
 	}
+	defer body.end()
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
-	rt.config.Budget.Sent()
-	response, body := rt.forward(ctx, c)
+	response, answer := rt.forward(ctx, c)
 	rt.count(c, response)
 	if response.Outcome != encoder.Answered {
+		body.closeUnless(body.end())
 		writeFailure(w, response, "")
 		return
 	}
-	rt.relay(w, response, body)
+	if response.Replayed {
+		body.end()
+	}
+	body.closeUnless(body.whole())
+	rt.relay(w, response, answer)
 	rt.config.Metrics.GetOrCreateHistogram(`hibiscus_entry_seconds{rank="` + c.head.Rank + `"}`).UpdateDuration(started)
 }
 
@@ -114,8 +126,11 @@
 func (rt *Router) relay(w http.ResponseWriter, r encoder.Response, body ResponseBody) {
 	defer body.Close()
 	header := w.Header()
+	// Headers that concern this connection were set before and stay.
 	for name, values := range r.Header {
-		header[name] = values
+		if !slices.Contains(hopHeaders, name) {
+			header[name] = values
+		}
 	}
 	header.Set(HeaderOutcome, encoder.Answered.String())
 	if r.Replayed {
@@ -134,14 +149,7 @@
 	if c.head.Keyed {
 		return rt.owner(c.head.Service, c.head.At)
 	}
-	var members []applier.Member
-	rt.config.State.View(func(s *applier.State) {
-		for _, m := range s.MembersOf(c.head.Service) {
-			if m.Status == applier.Active {
-				members = append(members, *m)
-			}
-		}
-	})
+	members := rt.directory.active(rt.config.State, c.head.Service)
 	id, found := rt.config.Chooser.Pick(members, tried)
 	if !found {
 		return applier.Member{}, encoder.NoOwner
