--- a/launcher/fleet.go
+++ b/launcher/fleet.go
@@ -76,7 +76,8 @@
 }
 
 const (
-	stream = "hibiscusline"
+	// Stream is the name of the stream of the log service that a fleet uses.
+	Stream = "hibiscusline"
 	// certificateValidity is long enough for any run.
 	certificateValidity = 30 * 24 * time.Hour
 )
@@ -133,13 +134,13 @@
 		// Serve always returns an error; the one after Close is expected and no other can be handled here.
 		_ = f.logServer.Serve(listener)
 	})
-	f.Client = appender.New(appender.Config{Address: f.address, Stream: stream})
+	f.Client = appender.New(appender.Config{Address: f.address, Stream: Stream})
 	return nil
 }
 
 func (f *Fleet) publish(ctx context.Context) error {
 	if f.config.Prepare != nil {
-		return f.config.Prepare(f.Log, stream)
+		return f.config.Prepare(f.Log, Stream)
 	}
 	state := &follower.Follower{}
 	result, err := appender.Commit(ctx, f.Client, state, appender.NewEnvelope(applier.Propose{
--- a/launcher/owner_test.go
+++ b/launcher/owner_test.go
@@ -1,6 +1,7 @@
 package launcher
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -16,19 +17,16 @@
 	require.NoError(w, w.Log.Change(func(s *emulator.LogSettings) { s.Down = o }))
 }
 
-// soleGuardian returns a guardian of a process when no two processes guard each other. Such pairs form while a fleet
-// starts; a pair that is lost at once needs an operator.
+// soleGuardian returns a guardian of a process when no two of it and its guardians guard each other. Such pairs form while
+// a fleet starts; a pair that is lost at once needs an operator.
 func (w *trial) soleGuardian(n *Node) *Node {
 	w.await("end of mutual guards", func() bool {
-		mutual := false
-		w.state(func(s *applier.State) {
-			for id, m := range s.Members {
-				for _, g := range m.Guardians {
-					mutual = mutual || s.Members[g] != nil && s.Members[g].GuardedBy(id)
-				}
-			}
+		lost := append(w.guardians(n), n)
+		return !slices.ContainsFunc(lost, func(a *Node) bool {
+			return slices.ContainsFunc(w.guardians(a), func(b *Node) bool {
+				return slices.Contains(lost, b) && slices.Contains(w.guardians(b), a)
+			})
 		})
-		return !mutual
 	})
 	return w.guardians(n)[0]
 }
--- a/launcher/trial_test.go
+++ b/launcher/trial_test.go
@@ -53,7 +53,8 @@
 			"order": {Urgency: 0, Floor: 0.3, Target: second / 4}, "stock": {Urgency: 1, Floor: 0.3, Target: second / 4},
 		},
 		Rules: []validator.Rule{
-			{Name: "desk", Service: fenced, Rank: "order"}, {Name: "stock", Service: unfenced, Rank: "stock"},
+			{Name: "desk", Service: fenced, Rank: "order"},
+			{Name: "stock", Service: unfenced, Rank: "stock"},
 			{Name: "archive", Service: unkeyed, Rank: "stock"},
 		},
 		Policy: validator.Policy{Operators: []string{"liis", "tormi"}},
