launcher, experimenter: rolling restarts with requests in flight

Cause: a planned stop must interrupt no request. The daemons of the test binary ended at SIGTERM without a stop, and the configuration lag of the experiment was counted from the start of the load. Change: TestRollingRestart; both faults of the tools corrected; the experiment says why a request in flight failed.

--- a/experimenter/faultkinds.go
+++ b/experimenter/faultkinds.go
@@ -221,6 +221,9 @@
 		r.result.InFlightSent += t.sent.Load()
 		r.mu.Unlock()
 		f.Result += fmt.Sprintf(" %s: %d sent, %d failed;", n.Name, t.sent.Load(), t.failed.Load())
+		if cause := t.cause.Load(); cause != nil {
+			f.Result += fmt.Sprintf(" last failure: %s;", cause)
+		}
 		if startErr := n.Start(); err == nil {
 			err = startErr
 		}
--- a/experimenter/faultprobe.go
+++ b/experimenter/faultprobe.go
@@ -108,6 +108,8 @@
 	failed atomic.Int64
 	sent   atomic.Int64
 	tasks  sync.WaitGroup
+	// cause is the last failure.
+	cause atomic.Value
 }
 
 const inFlightCallers = 8
@@ -140,7 +142,7 @@
 	response, err := client.Do(request)
 	if err != nil {
 		if !refusedConnection(err) {
-			t.failed.Add(1)
+			t.fail(err.Error())
 		}
 		return false
 	}
@@ -149,8 +151,13 @@
 	if closeErr := response.Body.Close(); err == nil {
 		err = closeErr
 	}
-	if err != nil || response.Header.Get("Hibiscus-Outcome") != "answered" {
-		t.failed.Add(1)
+	if outcome := response.Header.Get("Hibiscus-Outcome"); err != nil || outcome != "answered" {
+		t.fail(fmt.Sprintf("%s %s %v", outcome, response.Header.Get("Hibiscus-Reason"), err))
 	}
 	return true
 }
+
+func (t *inFlightTest) fail(cause string) {
+	t.failed.Add(1)
+	t.cause.Store(cause)
+}
--- a/experimenter/faults.go
+++ b/experimenter/faults.go
@@ -52,6 +52,7 @@
 	ProbeResolutionMs     int64    `json:"probe_resolution_ms"`
 	LeavingMs             int64    `json:"leaving_server_new_work_ms"`
 	ConfigLagMs           int64    `json:"config_lag_ms_max"`
+	ConfigLagAt           string   `json:"config_lag_at"`
 	Directory             string   `json:"directory,omitempty"`
 	Schedule              []*fault `json:"schedule"`
 	Failures              []string `json:"failures,omitempty"`
@@ -269,7 +270,8 @@
 	out.Schedule = r.faults
 	r.judgeAvailability()
 	out.LeavingMs = r.leavingWork().Milliseconds()
-	out.ConfigLagMs = r.watch.configurationLag(r.faulted, ended).Milliseconds()
+	lag, where := r.watch.configurationLag(r.faulted, ended)
+	out.ConfigLagMs, out.ConfigLagAt = lag.Milliseconds(), where
 	out.ConfigReverted += r.watch.reverted
 	out.AssignmentsLost, out.StatusesChecked = r.watch.lost, r.watch.checked
 	for _, p := range r.probes {
--- a/experimenter/faultwatch.go
+++ b/experimenter/faultwatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"syscall"
@@ -147,21 +148,23 @@
 }
 
 // configurationLag returns the longest time that a process without fault needed to have a version in force. A process with
-// a fault is counted from the fault's end.
-func (w *watcher) configurationLag(faulted func(node int, from, to time.Duration) time.Duration, end time.Duration) time.Duration {
+// a fault is counted from the fault's end. It also says which process and version that was.
+func (w *watcher) configurationLag(faulted func(node int, from, to time.Duration) time.Duration, end time.Duration) (worst time.Duration, where string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	var worst time.Duration
 	for _, v := range w.versions {
 		for i := range w.fleet.Nodes {
 			at, reached := v.reached[i]
 			if !reached {
 				at = end
 			}
-			worst = max(worst, at-faulted(i, v.at, at))
+			if lag := at - v.at - faulted(i, v.at, at); lag > worst {
+				worst = lag
+				where = fmt.Sprintf("version %d of %s at process %d, reached: %t", v.version, v.at, i, reached)
+			}
 		}
 	}
-	return worst
+	return worst, where
 }
 
 // owner returns the process that owns a key, and the processes that guard it.
--- a/launcher/fleet_test.go
+++ b/launcher/fleet_test.go
@@ -6,7 +6,9 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
@@ -96,8 +98,10 @@
 	if err != nil {
 		panic(err)
 	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer stop()
 	logger := log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr))
-	if err := daemon.New(daemon.Config{Settings: settings, Logger: logger}).Run(context.Background()); err != nil {
+	if err := daemon.New(daemon.Config{Settings: settings, Logger: logger}).Run(ctx); err != nil {
 		panic(err)
 	}
 }
--- /dev/null
+++ b/launcher/stop_test.go
@@ -0,0 +1,66 @@
+package launcher
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+)
+
+// TestRollingRestart guards against requests that a planned stop cuts off: at the stopping entry, at the stopping owner,
+// and anywhere else while every process of the fleet is restarted in turn.
+func TestRollingRestart(t *testing.T) {
+	w := startTrial(t, 10*time.Millisecond, map[string]int{fenced: 3})
+	steady := w.other(fenced)
+	var failures sync.Map
+	var sent atomic.Int64
+	call := func(n *Node, service, key string) error {
+		a := w.ask(w.ctx, n, service, key, "/items", "")
+		sent.Add(1)
+		if !a.answered() && !errors.Is(a.err, syscall.ECONNREFUSED) {
+			failures.Store(a.id, fmt.Sprintf("%s at %s, %s: %s %s %v", a.id, n.Name, time.Now().UTC().Format(time.StampMilli), a.outcome, a.reason, a.err))
+		}
+		return a.err
+	}
+	for _, n := range w.Nodes {
+		var callers sync.WaitGroup
+		stopped := make(chan struct{})
+		for i := range 6 {
+			entry := n
+			if i < 3 && n != steady {
+				entry = steady
+			}
+			callers.Go(func() {
+				for k := 0; ; k++ {
+					select {
+					case <-stopped:
+						return
+					default:
+					}
+					if err := call(entry, fenced, fmt.Sprintf("order-%d", k%30)); err != nil {
+						return
+					}
+				}
+			})
+		}
+		time.Sleep(100 * time.Millisecond)
+		require.NoError(w, n.Stop(w.ctx))
+		close(stopped)
+		callers.Wait()
+		require.NoError(w, n.Start())
+		require.NoError(w, w.AwaitReady(w.ctx))
+		http.DefaultClient.CloseIdleConnections()
+	}
+	failures.Range(func(_, cause any) bool {
+		t.Error(cause)
+		return true
+	})
+	require.NotZero(w, sent.Load())
+	w.judge()
+}
