launcher: ports below those of outgoing connections

Cause: with several fleets on one machine, 1 of 3 starts failed with a process that could not listen (exit status 1 after 36 ms): its port, found free, was given to an outgoing connection or to a backend server's own listener before. Change: ports are drawn from 12,000 to 31,999, below the range that Linux gives to outgoing connections.

--- a/launcher/node.go
+++ b/launcher/node.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -85,14 +86,17 @@
 	return n, n.Start()
 }
 
-// freeAddress returns a loopback address whose port is free for TCP and UDP.
+// freeAddress returns a loopback address whose port is free for TCP and UDP. Its port is below those that Linux gives to
+// outgoing connections: on a busy machine such a connection often took the port before the process listened on it.
 func freeAddress() (netip.AddrPort, error) {
+	const lowest, count = 12_000, 20_000
 	const attempts = 20
 	var last error
 	for range attempts {
-		tcp, err := net.Listen("tcp", "127.0.0.1:0")
+		tcp, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", lowest+rand.IntN(count)))
 		if err != nil {
-			return netip.AddrPort{}, err
+			last = err
+			continue
 		}
 		address := tcp.Addr().(*net.TCPAddr).AddrPort()
 		udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
