dispatcher: refuse non-repeatable requests before their intent is recorded

A CPU profile showed that recording intents at the guardians and their QUIC traffic took about half of the time of all processes, although four of five of these requests were then refused. Change: the admission is asked before the intent is recorded.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -126,6 +126,31 @@
 	}
 }
 
+// Preview returns the refusal that a request would get if it arrived now, if it would get one. It lets the caller save the
+// work that has to be done before a request may start.
+func (a *Admitter) Preview(now time.Duration, e Arrive) (Refuse, bool) {
+	a.advance(now)
+	n := &entry{Arrive: e, queue: a.queueOf(e.Rank)}
+	refuse := Refuse{ID: e.ID}
+	switch {
+	case n.queue == nil:
+		refuse.Reason = UnknownRank
+	case a.slots == 0:
+		refuse.Reason = Draining
+	case a.config.Policy == Ranked && !a.reachable(n, a.expectedWait(n)):
+		refuse.Reason = DeadlineUnreachable
+	default:
+		return Refuse{}, false
+	}
+	if n.queue != nil {
+		n.queue.refused[refuse.Reason]++
+	} else {
+		a.unknown++
+	}
+	refuse.RetryAfter = a.retryAfter(n, refuse.Reason)
+	return refuse, true
+}
+
 // enqueue adds a request to its queue. When the queue is full, the request with the least time left is refused, be it the
 // new one or one that waits: in an overload the oldest are the ones that will miss their deadlines, and each of them that
 // still ran would make a younger one miss its own. Work without deadline gives way to none that waits.
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -200,6 +200,12 @@
 	return d.admitAndRun(ctx, j, j.sink, nil)
 }
 
+func (d *Dispatcher) arrival(j *job, alone bool) admitter.Arrive {
+	return admitter.Arrive{
+		Rank: j.head.Rank, Deadline: timer.Now() + time.Until(j.deadline), Nested: j.head.Nested, Alone: alone,
+	}
+}
+
 // admitAndRun waits for a slot and runs the request. The settle function, if any, is told how the request ended before
 // its answer goes out.
 func (d *Dispatcher) admitAndRun(ctx context.Context, j *job, sink Sink, settle func(ending)) error {
@@ -212,9 +218,7 @@
 		settle(ending{})
 		return d.refuse(j, encoder.Poison)
 	}
-	release, refusal := d.gate.admit(ctx, admitter.Arrive{
-		Rank: j.head.Rank, Deadline: timer.Now() + time.Until(j.deadline), Nested: j.head.Nested, Alone: verdict == quarantiner.RunAlone,
-	})
+	release, refusal := d.gate.admit(ctx, d.arrival(j, verdict == quarantiner.RunAlone))
 	if refusal != nil {
 		settle(ending{})
 		if j.head.IdempotencyKey == "" && time.Now().After(j.deadline) {
--- a/dispatcher/gate.go
+++ b/dispatcher/gate.go
@@ -69,6 +69,18 @@
 	g.step(e)
 }
 
+// preview returns the refusal that a request would get now, or nil.
+func (g *gate) preview(a admitter.Arrive) *encoder.Response {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	refuse, refused := g.admitter.Preview(timer.Now(), a)
+	if !refused {
+		return nil
+	}
+	_, response := g.decide(a.ID, refuse)
+	return response
+}
+
 // admit waits until the request may start. It returns the function that gives the slot back, or the refusal.
 func (g *gate) admit(ctx context.Context, a admitter.Arrive) (func(completed bool), *encoder.Response) {
 	g.mu.Lock()
--- a/dispatcher/once.go
+++ b/dispatcher/once.go
@@ -90,9 +90,18 @@
 	return err
 }
 
-// serveFresh records the intent with the guardians and runs the request. The request goes on when its caller leaves, so
+// serveFresh records the intent with the guardians and runs the request. A request that would be refused is refused before
+// that: in a flood of non-repeatable requests the records of refused ones took more time than all others. The request goes on when its caller leaves, so
 // that its outcome is known when the caller sends it again.
 func (d *Dispatcher) serveFresh(ctx context.Context, j *job, row deduper.Row) error {
+	if refusal := d.gate.preview(d.arrival(j, false)); refusal != nil {
+		// The guardians don't know the row and need not forget it.
+		d.Rows(func(t *deduper.Table) {
+			t.Abort(row.Ref)
+			d.wake()
+		})
+		return d.respond(j, *refusal)
+	}
 	recordCtx, cancelRecord := context.WithTimeout(ctx, recordTimeout)
 	err := d.config.Replicator.Record(recordCtx, row)
 	cancelRecord()
