router: hints for the most urgent rank too, bounded by the owner's queue

Cause: a flood of the most urgent rank cost a hop for each request, since hints were only made for ranks below the lowest admitted one. Besides, a hint refused requests that had more time left than the one that was refused. Change: a hint for the lowest admitted rank lasts at most a quarter of the owner's queue; no hint counts for requests with more time left.

--- a/router/forward.go
+++ b/router/forward.go
@@ -109,7 +109,7 @@
 
 // attempt sends a call to one member.
 func (rt *Router) attempt(ctx context.Context, c *call, m applier.Member) (encoder.Response, ResponseBody) {
-	if wait, refused := rt.hints.refuses(m.ID, c.rank.Urgency, time.Now()); refused && !c.head.Nested {
+	if wait, refused := rt.hints.refuses(m.ID, c.rank.Urgency, time.Until(c.deadline), time.Now()); refused && !c.head.Nested {
 		return encoder.Response{Outcome: encoder.NotRun, Reason: encoder.Overloaded, RetryAfter: wait}, nil
 	}
 	reader, whole := c.body.reader()
@@ -129,7 +129,7 @@
 		rt.config.Chooser.Started(m.ID)
 	}
 	response, body := rt.config.Exchanger.Exchange(ctx, m, head, reader)
-	rt.hints.learn(m.ID, c.rank.Urgency, response, time.Now())
+	rt.hints.learn(m.ID, c.rank.Urgency, head.Remaining, response, time.Now())
 	done := func() {
 		release()
 		if !c.head.Keyed {
--- /dev/null
+++ b/router/hints_test.go
@@ -0,0 +1,41 @@
+package router
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscusline/encoder"
+)
+
+// TestHints guards against floods that cost a hop for each request, and against hints that refuse requests which the
+// owner would run.
+func TestHints(t *testing.T) {
+	now := time.Now()
+	overloaded := encoder.Response{
+		Outcome: encoder.NotRun, Reason: encoder.Overloaded, RetryAfter: time.Second,
+		Load: encoder.Load{Queued: 10, Rate: 100, LowestAdmitted: 1},
+	}
+	refused := func(h *hints, urgency int, remaining, after time.Duration) bool {
+		_, refused := h.refuses(7, urgency, remaining, now.Add(after))
+		return refused
+	}
+	for _, urgency := range []int{0, 2} {
+		h := &hints{}
+		require.False(t, refused(h, urgency, time.Second, 0))
+		h.learn(7, urgency, time.Second, overloaded, now)
+		require.True(t, refused(h, urgency, time.Second, 20*time.Millisecond))
+		require.False(t, refused(h, urgency, 2*time.Second, 0), "a request with more time may run")
+		require.False(t, refused(h, 1, time.Second, 0), "another rank may have its floor")
+		require.False(t, refused(h, urgency, time.Second, hintLifetime+1))
+	}
+	h := &hints{}
+	h.learn(7, 0, time.Second, overloaded, now)
+	require.False(t, refused(h, 0, time.Second, 26*time.Millisecond), "the owner's queue must not run empty")
+	idle := overloaded
+	idle.Load.Queued = 0
+	h = &hints{}
+	h.learn(7, 0, time.Second, idle, now)
+	require.False(t, refused(h, 0, time.Second, 0), "an owner without queue must get requests")
+}
