follower: peers get checkpoints without their content; kept records are bounded in bytes

Cause: every process passed whole checkpoints on to its peers and kept them. At 11,000 members and 176,000 ranges a checkpoint has 7.6 MB; one in ten minutes is 13 kB/s for every process, above the limit of 7 kB/s. 4,096 kept configurations of 100 kB would take 400 MB. Ruled out: not passing the records on, since offsets have no gaps. Change: what is kept for peers holds the checkpoint's id and position, which the state needs, and not its content. The kept records are bounded by 8 MiB.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -11,6 +11,9 @@
 // keptRecords is the number of recent records that peers can fetch; one that lags further fetches the whole state.
 const keptRecords = 4096
 
+// keptBytes bounds the size of the kept records: 4,096 configurations of 100 kB would take 400 MB.
+const keptBytes = 4 << 20
+
 // Batch is a run of encoded records with ascending offsets from Start.
 type Batch struct {
 	// First is the first offset that the source still keeps.
@@ -29,6 +32,7 @@
 
 	kept      [][]byte
 	keptStart applier.Offset
+	keptSize  int
 
 	// recovery holds all records from the first kept offset on while the follower looks for a checkpoint.
 	recovery      map[applier.Offset]applier.Envelope
@@ -114,8 +118,8 @@
 }
 
 func (f *Follower) apply(offset applier.Offset, data []byte) []applier.Result {
-	f.keep(offset, data)
 	e, err := applier.Decode(data)
+	f.keep(offset, withoutPiece(data, e))
 	if err != nil {
 		f.state.Skip(offset)
 		f.skipped++
@@ -147,7 +151,8 @@
 		}
 		f.recovery[offset] = e
 		piece, ok := e.Record.(applier.Checkpoint)
-		if !ok {
+		// A peer passes checkpoints on without their content.
+		if !ok || len(piece.Piece) == 0 {
 			continue
 		}
 		state, err := f.collector.Add(piece)
@@ -184,7 +189,7 @@
 		f.state.Apply(offset, e)
 	}
 	f.recovery, f.collector = nil, applier.Collector{}
-	f.kept, f.keptStart = nil, 0
+	f.kept, f.keptStart, f.keptSize = nil, 0, 0
 	f.ready = true
 }
 
@@ -197,7 +202,7 @@
 	}
 	f.state = *state
 	f.recovery, f.collector = nil, applier.Collector{}
-	f.kept, f.keptStart = nil, 0
+	f.kept, f.keptStart, f.keptSize = nil, 0, 0
 	f.ready = true
 	f.notify()
 	return true
@@ -228,15 +233,38 @@
 	return f.state.Encode()
 }
 
+// withoutPiece returns the encoded form of a record without the content of a checkpoint, which doesn't affect the state.
+// With 11,000 members a checkpoint has 8 MB; passed on from process to process, it would exceed the limit for control
+// traffic, and kept, the limit for memory. A process that needs a checkpoint reads it from the log or asks for the state.
+func withoutPiece(data []byte, e applier.Envelope) []byte {
+	piece, ok := e.Record.(applier.Checkpoint)
+	if !ok {
+		return data
+	}
+	piece.Piece = nil
+	stripped, err := applier.Encode(applier.Envelope{ID: e.ID, Record: piece})
+	if err != nil {
+		return data
+	}
+	return stripped
+}
+
 func (f *Follower) keep(offset applier.Offset, data []byte) {
 	if len(f.kept) == 0 {
 		f.keptStart = offset
 	}
 	f.kept = append(f.kept, data)
-	if len(f.kept) > 2*keptRecords {
-		f.kept = append([][]byte(nil), f.kept[len(f.kept)-keptRecords:]...)
-		f.keptStart = offset + 1 - keptRecords
+	f.keptSize += len(data)
+	if len(f.kept) <= 2*keptRecords && f.keptSize <= 2*keptBytes {
+		return
+	}
+	dropped := 0
+	for len(f.kept)-dropped > keptRecords || f.keptSize > keptBytes && dropped < len(f.kept)-1 {
+		f.keptSize -= len(f.kept[dropped])
+		dropped++
 	}
+	f.kept = append([][]byte(nil), f.kept[dropped:]...)
+	f.keptStart += applier.Offset(dropped)
 }
 
 func (f *Follower) notify() {
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -114,3 +114,50 @@
 		}
 	})
 }
+
+// TestKeptRecordsAreSmall guards against the content of checkpoints and large configurations in what a process keeps for
+// its peers, and against a peer that reaches another state without that content.
+func TestKeptRecordsAreSmall(t *testing.T) {
+	var writer applier.State
+	records := [][]byte{}
+	add := func(id string, r applier.Record) {
+		records = append(records, encode(t, id, r))
+		e, err := applier.Decode(records[len(records)-1])
+		require.NoError(t, err)
+		writer.Apply(applier.Offset(len(records)), e)
+	}
+	for i := range 2000 {
+		add(fmt.Sprint("join-", i), applier.Join{Member: applier.Member{ID: applier.MemberID(i + 1), Service: "orders"}})
+	}
+	pieces, err := writer.Checkpoints("c")
+	require.NoError(t, err)
+	for i, piece := range pieces {
+		add(fmt.Sprint("piece-", i), piece)
+	}
+	var f, peer Follower
+	_, err = f.Ingest(Batch{First: 1, Next: applier.Offset(len(records)) + 1, Start: 1, Records: records})
+	require.NoError(t, err)
+	b, kept := f.Since(1, len(records))
+	require.True(t, kept)
+	require.Less(t, len(b.Records[len(b.Records)-1]), 100)
+	_, err = peer.Ingest(b)
+	require.NoError(t, err)
+	want, err := f.Encoded()
+	require.NoError(t, err)
+	got, err := peer.Encoded()
+	require.NoError(t, err)
+	require.Equal(t, want, got)
+	f.View(func(s *applier.State) { require.Equal(t, applier.Offset(2000), s.CheckpointAsOf) })
+
+	large := make([]byte, 1<<20)
+	for i := range 20 {
+		next := applier.Offset(len(records) + 1 + i)
+		_, err = f.Ingest(Batch{First: 1, Next: next + 1, Start: next, Records: [][]byte{large}})
+		require.NoError(t, err)
+	}
+	require.LessOrEqual(t, f.keptSize, 2*keptBytes)
+	b, kept = f.Since(f.keptStart, 100)
+	require.True(t, kept)
+	require.Equal(t, f.Applied()+1, b.Next)
+	require.Len(t, f.kept, int(f.Applied()+1-f.keptStart))
+}
