daemon: plain service names in the refusal of a move

Cause: quotes in the message are escaped in its JSON form, and TestBadInput looks for the name in the answer's bytes. Change: no quotes. Conclusion: as described.

--- a/daemon/move.go
+++ b/daemon/move.go
@@ -51,7 +51,7 @@
 		return errors.Errorf("member %s is not present", to)
 	}
 	if target.Service != n.server.Service {
-		return errors.Errorf("member %s serves %q, not %q", to, target.Service, n.server.Service)
+		return errors.Errorf("member %s serves %s, not %s", to, target.Service, n.server.Service)
 	}
 	if pending {
 		return errors.New("a range was taken over a moment ago and is not settled yet")
