daemon, dispatcher: lower cost of idle processes

Cause: an idle process woke up 200 times a second for admission, 40 times for the lease and ten times to see whether it reads the log, for which it sorted all members of its zone; after reading a checkpoint of 11,000 members it kept several times its size; several peers announced each record and each was asked for it. Change: admission ticks every 5 ms only while requests wait, else 250 ms. The lease tick is 50 ms, the largest interval that package leaser admits; term and renewal stay. Readers poll every 250 ms instead of 100 ms. The reader check runs once a second, neighbours are computed once per change of members, a peer is not asked for what another one sent, and memory goes back to the system after a state was read. Large states are written as checkpoint less often, at most about 1 kB/s. Ruled out: a memory limit for the garbage collector, which would take CPU from requests; a lower GOGC was not needed.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -47,8 +47,8 @@
 
 	// kicks wakes the task that reads the log.
 	kicks chan struct{}
-	// behind carries the addresses of peers that have applied more.
-	behind chan netip.AddrPort
+	// behind carries the peers that have applied more.
+	behind chan aheadPeer
 	// heard is the time, in nanoseconds since the start, of the last datagram from a peer.
 	heard     atomic.Int64
 	firstKept atomic.Uint64
@@ -75,6 +75,12 @@
 	stopped chan struct{}
 }
 
+// aheadPeer is a peer that announced an offset.
+type aheadPeer struct {
+	address netip.AddrPort
+	applied applier.Offset
+}
+
 type memberLoad struct {
 	load encoder.Load
 	at   time.Time
@@ -89,7 +95,7 @@
 		client:     appender.New(appender.Config{Address: c.Settings.Log.Address, Stream: c.Settings.Log.Stream}),
 		state:      &follower.Follower{},
 		kicks:      make(chan struct{}, 1),
-		behind:     make(chan netip.AddrPort, 16),
+		behind:     make(chan aheadPeer, 16),
 		store:      deduper.NewStore(deduper.Limits{}),
 		completeAt: map[applier.MemberID]applier.Offset{},
 		loads:      map[applier.MemberID]memberLoad{},
@@ -237,14 +243,36 @@
 	return 0
 }
 
-// tickAdmission lets waiting requests notice their deadlines.
+// tickAdmission lets waiting requests notice their deadlines. While none waits it wakes up rarely, since 200 wake-ups a
+// second were a large part of the CPU time of an idle process.
 func (d *Daemon) tickAdmission(ctx context.Context) {
-	const interval = 5 * time.Millisecond
-	every(ctx, interval, func() {
-		if n := d.incarnation(); n != nil {
-			n.dispatcher.Tick()
+	const (
+		busy = 5 * time.Millisecond
+		idle = 250 * time.Millisecond
+	)
+	timer := time.NewTimer(idle)
+	defer timer.Stop()
+	for {
+		n := d.incarnation()
+		var queued <-chan struct{}
+		waiting := false
+		if n != nil {
+			if waiting = n.dispatcher.Tick(); !waiting {
+				queued = n.dispatcher.Queued()
+			}
 		}
-	})
+		if waiting {
+			timer.Reset(busy)
+		} else {
+			timer.Reset(idle)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-queued:
+		}
+	}
 }
 
 // every calls a function at an interval until the context ends.
--- a/daemon/log.go
+++ b/daemon/log.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"net/netip"
+	"runtime/debug"
 	"slices"
 	"time"
 
@@ -17,6 +18,8 @@
 
 const (
 	readLimit = 500
+	// readerCheck is the time after which a process looks again whether it is one of its zone's readers.
+	readerCheck = time.Second
 	// readersPerZone is the number of members in a zone that poll the log; two, so that the loss of one delays nothing.
 	readersPerZone = 2
 	// silence is the time without any peer after which a process polls the log itself.
@@ -37,13 +40,19 @@
 func (d *Daemon) followLog(ctx context.Context) {
 	ticker := time.NewTicker(d.config.Settings.Log.PollInterval)
 	defer ticker.Stop()
+	var reader bool
+	var checked time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-d.kicks:
 		case <-ticker.C:
-			if !d.isReader() {
+			// The check looks at every member, which costs more than a poll in a large fleet.
+			if time.Since(checked) > readerCheck {
+				reader, checked = d.isReader(), time.Now()
+			}
+			if !reader {
 				continue
 			}
 		}
@@ -75,7 +84,11 @@
 }
 
 func (d *Daemon) ingest(b follower.Batch) {
+	wasReady := d.state.Ready()
 	results, err := d.state.Ingest(b)
+	if !wasReady && d.state.Ready() {
+		releaseMemory()
+	}
 	if err != nil {
 		d.metrics.GetOrCreateCounter("hibiscus_log_batches_refused_total").Inc()
 	}
@@ -118,8 +131,12 @@
 		select {
 		case <-ctx.Done():
 			return
-		case address := <-d.behind:
-			if err := d.fetch(ctx, address); err != nil {
+		case peer := <-d.behind:
+			// Several peers announce each record, and the first of them has sent it by now.
+			if peer.applied <= d.state.Applied() {
+				continue
+			}
+			if err := d.fetch(ctx, peer.address); err != nil {
 				d.metrics.GetOrCreateCounter("hibiscus_peer_fetch_errors_total").Inc()
 			}
 		}
@@ -141,6 +158,9 @@
 			return nil
 		}
 		d.ingest(follower.Batch{First: 1, Next: records.Start, Start: records.Start, Records: records.Records})
+		if len(records.Records) < fetchLimit {
+			return nil
+		}
 	}
 }
 
@@ -156,10 +176,15 @@
 	if err != nil {
 		return err
 	}
-	d.state.Adopt(state)
+	if d.state.Adopt(state) {
+		releaseMemory()
+	}
 	return nil
 }
 
+// releaseMemory returns the memory in which a state was read, several times its size, to the system.
+func releaseMemory() { go debug.FreeOSMemory() }
+
 // learnFromPeers asks the peers of the settings for their state while the log can't give it.
 func (d *Daemon) learnFromPeers(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
@@ -224,22 +249,27 @@
 func (d *Daemon) keepCheckpoints(ctx context.Context) {
 	const (
 		interval   = time.Second
-		maxRecords = 2000
-		maxAge     = 10 * time.Minute
+		minRecords = 2000
+		minAge     = 10 * time.Minute
+		// Readers of the log get each checkpoint, so a large one is written less often: at most 1 kB a second.
+		agePerRange     = 50 * time.Millisecond
+		rangesPerRecord = 4
 	)
-	var written time.Time
+	written := time.Now()
 	every(ctx, interval, func() {
 		var due bool
 		var pieces []applier.Checkpoint
 		ready, self := d.state.Ready(), d.self()
 		d.state.View(func(s *applier.State) {
-			if s.Oldest() != self || s.Applied == 0 || !ready {
+			if s.Oldest() != self || s.Applied == 0 || !ready || time.Since(written) < 5*interval {
 				return
 			}
 			since := s.Applied - s.CheckpointAsOf
 			// The checkpoint itself consists of records, so a fleet without changes writes one only for its age.
 			lost := s.CheckpointAsOf+1 < applier.Offset(d.firstKept.Load())
-			due = since > maxRecords || lost || since > 1 && time.Since(written) > maxAge
+			ranges := rangesOf(s)
+			age := max(minAge, agePerRange*time.Duration(ranges))
+			due = since > applier.Offset(max(minRecords, ranges/rangesPerRecord)) || lost || since > 1 && time.Since(written) > age
 			if !due {
 				return
 			}
@@ -248,7 +278,7 @@
 				d.log("state", "checkpoint failed", "err", err)
 			}
 		})
-		if !due || time.Since(written) < 5*interval {
+		if !due {
 			return
 		}
 		written = time.Now()
@@ -261,3 +291,11 @@
 		d.metrics.GetOrCreateCounter("hibiscus_checkpoints_total").Inc()
 	})
 }
+
+func rangesOf(s *applier.State) int {
+	ranges := 0
+	for _, assignments := range s.Assignments {
+		ranges += len(assignments)
+	}
+	return ranges
+}
--- a/daemon/member.go
+++ b/daemon/member.go
@@ -38,6 +38,9 @@
 	version atomic.Uint64
 	// notified is the offset that the neighbours were last told.
 	notified atomic.Uint64
+	// neighbours are those of the members as of the offset neighboursAt.
+	neighbours   []applier.MemberID
+	neighboursAt applier.Offset
 	// synchronized is the guardian version whose guardians have all rows.
 	synchronized  atomic.Uint64
 	synchronizing atomic.Bool
@@ -196,7 +199,8 @@
 
 // tickLease lets the lease machine renew and notice lapsed promises.
 func (d *Daemon) tickLease(ctx context.Context) {
-	const interval = 25 * time.Millisecond
+	// The largest interval that package leaser admits.
+	const interval = 50 * time.Millisecond
 	every(ctx, interval, func() {
 		n := d.incarnation()
 		if n == nil {
@@ -273,14 +277,7 @@
 	var applied applier.Offset
 	d.state.View(func(s *applier.State) {
 		applied = s.Applied
-		if self, present := s.Members[n.id]; present {
-			neighbours = append(neighbours, self.Guardians...)
-		}
-		for id, m := range s.Members {
-			if m.GuardedBy(n.id) {
-				neighbours = append(neighbours, id)
-			}
-		}
+		neighbours = n.neighboursIn(s)
 	})
 	if n.notified.Swap(uint64(applied)) == uint64(applied) {
 		return
@@ -289,3 +286,19 @@
 		d.sendDatagram(id, encoder.Datagram{From: n.id})
 	}
 }
+
+// neighboursIn returns the guardians of this member and the members that it guards. It is called by one task only.
+func (n *incarnation) neighboursIn(s *applier.State) []applier.MemberID {
+	if changed := s.MembersChanged(); n.neighboursAt != changed || changed == 0 {
+		n.neighboursAt, n.neighbours = changed, nil
+		if self, present := s.Members[n.id]; present {
+			n.neighbours = append(n.neighbours, self.Guardians...)
+		}
+		for id, m := range s.Members {
+			if m.GuardedBy(n.id) {
+				n.neighbours = append(n.neighbours, id)
+			}
+		}
+	}
+	return n.neighbours
+}
--- a/daemon/streams.go
+++ b/daemon/streams.go
@@ -31,7 +31,7 @@
 	}
 	if g.Applied > d.state.Applied() {
 		select {
-		case d.behind <- from:
+		case d.behind <- aheadPeer{address: from, applied: g.Applied}:
 		default:
 		}
 	}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -100,8 +100,12 @@
 	d.gate.apply(admitter.Reconfigure{Ranks: ranks})
 }
 
-// Tick lets time pass for waiting requests. It is due every few milliseconds.
-func (d *Dispatcher) Tick() { d.gate.tick() }
+// Tick lets time pass for waiting requests. It is due every few milliseconds while it returns true, which means that
+// requests wait, and several times a second otherwise.
+func (d *Dispatcher) Tick() bool { return d.gate.tick() }
+
+// Queued returns a channel that receives a value when requests start to wait.
+func (d *Dispatcher) Queued() <-chan struct{} { return d.gate.queued }
 
 // Load describes the backend server as this process sees it.
 func (d *Dispatcher) Load() encoder.Load { return d.gate.load() }
--- a/dispatcher/gate.go
+++ b/dispatcher/gate.go
@@ -16,6 +16,8 @@
 	admitter *admitter.Admitter
 	next     uint64
 	waiting  map[uint64]chan admitter.Action
+	// queued is signalled when a request starts to wait.
+	queued chan struct{}
 	// finishedAt and finished give the rate of completed requests over the last window.
 	windowStart time.Duration
 	finished    int
@@ -27,7 +29,7 @@
 const rateWindow = time.Second
 
 func newGate(c admitter.Config) *gate {
-	return &gate{admitter: admitter.New(c), waiting: map[uint64]chan admitter.Action{}, slots: c.Slots}
+	return &gate{admitter: admitter.New(c), waiting: map[uint64]chan admitter.Action{}, queued: make(chan struct{}, 1), slots: c.Slots}
 }
 
 // step passes an event on and wakes the requests that the actions name. The lock must be held.
@@ -48,8 +50,8 @@
 	}
 }
 
-// tick lets the admitter refuse requests whose deadline can't be met any more.
-func (g *gate) tick() {
+// tick lets the admitter refuse requests whose deadline can't be met any more. It reports whether any request waits.
+func (g *gate) tick() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.step(admitter.Tick{})
@@ -58,6 +60,7 @@
 		g.rate = float64(g.finished) / span.Seconds()
 		g.windowStart, g.finished = now, 0
 	}
+	return len(g.waiting) > 0
 }
 
 func (g *gate) apply(e admitter.Event) {
@@ -77,6 +80,12 @@
 	decided := make(chan admitter.Action, 1)
 	g.waiting[a.ID] = decided
 	g.step(a)
+	if _, waits := g.waiting[a.ID]; waits {
+		select {
+		case g.queued <- struct{}{}:
+		default:
+		}
+	}
 	g.mu.Unlock()
 	select {
 	case action := <-decided:
--- a/loader/daemon.go
+++ b/loader/daemon.go
@@ -68,7 +68,7 @@
 func DefaultDaemon() DaemonSettings {
 	return DaemonSettings{
 		Local: netip.MustParseAddrPort("127.0.0.1:7400"),
-		Log:   LogSettings{Stream: "hibiscusline", PollInterval: 100 * time.Millisecond},
+		Log:   LogSettings{Stream: "hibiscusline", PollInterval: 250 * time.Millisecond},
 		Limits: LimitSettings{
 			MaxHeaderBytes: 32 << 10, ReplayLimit: 64 << 10, QueueLimit: 1024,
 			DefaultTimeout: 10 * time.Second, MaxConnections: 4096,
