follower: records of peers end the search for a checkpoint

Cause: a process that was away for longer than the log keeps records looks for a checkpoint. While there was none it refused the missing records that its peers sent, and its fetch repeated the same question until its time-out. Ruled out: adopting the whole state of a peer, which costs more and isn't needed while peers keep the records. Change: a batch that continues the state is applied in any case and ends the search.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -95,9 +95,13 @@
 func (f *Follower) Ingest(b Batch) ([]applier.Result, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.recovery != nil || b.First > f.state.Applied+1 {
+	next := f.state.Applied + 1
+	// A peer may still have the records that the log has dropped. They end the search for a checkpoint.
+	continues := b.Start <= next && b.Start+applier.Offset(len(b.Records)) > next
+	if !continues && (f.recovery != nil || b.First > next) {
 		return f.recover(b)
 	}
+	f.recovery, f.collector = nil, applier.Collector{}
 	if b.Start > f.state.Applied+1 {
 		return nil, errors.Errorf("batch starts at offset %d, next needed is %d", b.Start, f.state.Applied+1)
 	}
