daemon: a leaving server gets no new work while the log is down

Cause: when a backend server left during a log outage, or its process was cut off from the log, the Drain record could not be written and the process went on admitting work for the whole outage. Ruled out: lost announcements, since the one at once is followed by others each second; lapsed leases, which don't depend on the log. Change: 2 s after a resignation began the dispatcher refuses what doesn't run yet (not run, backend_lost), which entries of unkeyed services send elsewhere. Keys of that server have no owner until the log is back.

--- a/daemon/move.go
+++ b/daemon/move.go
@@ -22,6 +22,9 @@
 	// leavePause is the time between the notice that this process drains and the close of its listener, in which
 	// callers finish with their open connections.
 	leavePause = 500 * time.Millisecond
+	// leaveLimit is the time after which a leaving backend server gets no new work, although its ranges have no other owner
+	// yet because the log is down. It leaves room within the 3 s that are promised.
+	leaveLimit = 2 * time.Second
 	// finishTimeout bounds the wait for requests in flight at a stop. It exceeds the longest timeout of a caller.
 	finishTimeout = time.Minute
 )
@@ -147,7 +150,7 @@
 // resign ends an incarnation whose backend server is leaving: its ranges move to other members and it leaves. A later
 // announcement makes the process a new member.
 func (d *Daemon) resign(n *incarnation, why string) {
-	d.resignAfter(n, why, func(context.Context) {})
+	d.resignAfter(n, why, func(context.Context) { time.AfterFunc(leaveLimit, n.dispatcher.Withdraw) })
 }
 
 // giveUp resigns for a backend server that doesn't answer. A server that checks grants refuses what it accepted once the
--- a/dispatcher/ownership.go
+++ b/dispatcher/ownership.go
@@ -195,6 +195,9 @@
 	if err := d.Idle(ctx); err != nil {
 		return err
 	}
-	d.gate.apply(admitter.Resize{})
+	d.Withdraw()
 	return d.Idle(ctx)
 }
+
+// Withdraw refuses all requests that don't run yet, until a call of SetBackend.
+func (d *Dispatcher) Withdraw() { d.gate.apply(admitter.Resize{}) }
