daemon: the member that writes checkpoints learns what the log dropped

Cause: only readers of the log know its first kept record, and the oldest member, which writes checkpoints, need not be one.

--- a/daemon/log.go
+++ b/daemon/log.go
@@ -245,6 +245,12 @@
 	}
 }
 
+func (d *Daemon) isOldest() bool {
+	var oldest applier.MemberID
+	d.state.View(func(s *applier.State) { oldest = s.Oldest() })
+	return oldest != 0 && oldest == d.self()
+}
+
 // keepCheckpoints appends the state as a checkpoint while this process holds that duty.
 func (d *Daemon) keepCheckpoints(ctx context.Context) {
 	const (
@@ -260,6 +266,10 @@
 		var due bool
 		var pieces []applier.Checkpoint
 		ready, self := d.state.Ready(), d.self()
+		if d.isOldest() {
+			// The oldest member need not be a reader of its zone, and would not learn what the log has dropped.
+			d.kick()
+		}
 		d.state.View(func(s *applier.State) {
 			if s.Oldest() != self || s.Applied == 0 || !ready || time.Since(written) < 5*interval {
 				return
