router: read the rest of a body before the handler returns

The entries logged 'panic serving: invalid concurrent Body.Read call' 2,903 times in 15 s. With EnableFullDuplex net/http doesn't read the rest of a body that a refusal left unread before it answers; it does so after the handler, and then starts a background read that collides with the caller's next request. Ruled out: ReadHeaderTimeout closing unused connections (2 min instead of 10 s: same errors); only waiting for the sender's read to end (same errors); a server without full duplex (no error in 40,000 requests). A sender that is still running sees its reader closed, never an end of the body.

--- a/router/router.go
+++ b/router/router.go
@@ -93,11 +93,23 @@
 	defer cancel()
 	response, body := rt.forward(ctx, c)
 	rt.count(c, response)
+	interrupt := func() {
+		// A connection that doesn't support deadlines is bounded by the server's own.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+	}
 	if response.Outcome != encoder.Answered {
+		if !c.body.end(interrupt) {
+			w.Header().Set("Connection", "close")
+		}
 		writeFailure(w, response, "")
 		return
 	}
 	rt.relay(w, response, body)
+	if !c.body.end(interrupt) {
+		// The answer is complete. The rest of the body would be taken for the next request of the connection.
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
 	rt.config.Metrics.GetOrCreateHistogram(`hibiscus_entry_seconds{rank="` + c.head.Rank + `"}`).UpdateDuration(started)
 }
 
