--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -71,7 +71,7 @@
 		longest = max(longest, q.service.mean)
 	}
 	for _, q := range a.queues {
-		q.advance(span, a.slots, longest)
+		q.advance(a.now, span, a.slots, longest)
 	}
 }
 
@@ -81,7 +81,7 @@
 	for _, r := range ranks {
 		i := slices.IndexFunc(old, func(q *queue) bool { return q.Name == r.Name })
 		if i < 0 {
-			a.queues = append(a.queues, &queue{Rank: r})
+			a.queues = append(a.queues, &queue{Rank: r, emptied: a.now})
 			continue
 		}
 		old[i].Rank = r
@@ -119,13 +119,38 @@
 		a.start(n)
 	case a.config.Policy == SingleQueue:
 		a.enqueueSingle(n)
-	case !a.reachable(n, a.expectedWait(n)):
+	case !a.admissible(n):
 		a.refuse(n, DeadlineUnreachable)
 	default:
 		a.enqueue(n)
 	}
 }
 
+// Preview returns the refusal that a request would get if it arrived now, if it would get one. It lets the caller save the
+// work that has to be done before a request may start.
+func (a *Admitter) Preview(now time.Duration, e Arrive) (Refuse, bool) {
+	a.advance(now)
+	n := &entry{Arrive: e, queue: a.queueOf(e.Rank)}
+	refuse := Refuse{ID: e.ID}
+	switch {
+	case n.queue == nil:
+		refuse.Reason = UnknownRank
+	case a.slots == 0:
+		refuse.Reason = Draining
+	case a.config.Policy == Ranked && !a.admissible(n):
+		refuse.Reason = DeadlineUnreachable
+	default:
+		return Refuse{}, false
+	}
+	if n.queue != nil {
+		n.queue.refused[refuse.Reason]++
+	} else {
+		a.unknown++
+	}
+	refuse.RetryAfter = a.retryAfter(n, refuse.Reason)
+	return refuse, true
+}
+
 // enqueue adds a request to its queue. When the queue is full, the request with the least time left is refused, be it the
 // new one or one that waits: in an overload the oldest are the ones that will miss their deadlines, and each of them that
 // still ran would make a younger one miss its own. Work without deadline gives way to none that waits.
@@ -197,6 +222,7 @@
 	a.running++
 	e.queue.running++
 	e.queue.started++
+	e.queue.startRate += 1 / busyWindow.Seconds()
 	if e.Nested {
 		a.nestedRunning++
 	}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -109,8 +109,12 @@
 	d.gate.apply(admitter.Reconfigure{Ranks: ranks})
 }
 
-// Tick lets time pass for waiting requests. It is due every few milliseconds.
-func (d *Dispatcher) Tick() { d.gate.tick() }
+// Tick lets time pass for waiting requests. It is due every few milliseconds while it returns true, which means that
+// requests wait, and several times a second otherwise.
+func (d *Dispatcher) Tick() bool { return d.gate.tick() }
+
+// Queued returns a channel that receives a value when requests start to wait.
+func (d *Dispatcher) Queued() <-chan struct{} { return d.gate.queued }
 
 // Load describes the backend server as this process sees it.
 func (d *Dispatcher) Load() encoder.Load { return d.gate.load() }
@@ -221,6 +225,12 @@
 	return d.admitAndRun(ctx, j, j.sink, nil)
 }
 
+func (d *Dispatcher) arrival(j *job, alone bool) admitter.Arrive {
+	return admitter.Arrive{
+		Rank: j.head.Rank, Deadline: timer.Now() + time.Until(j.deadline), Nested: j.head.Nested, Alone: alone,
+	}
+}
+
 // admitAndRun waits for a slot and runs the request. The settle function, if any, is told how the request ended before
 // its answer goes out.
 func (d *Dispatcher) admitAndRun(ctx context.Context, j *job, sink Sink, settle func(ending)) error {
@@ -233,9 +243,7 @@
 		settle(ending{})
 		return d.refuse(j, encoder.Poison)
 	}
-	release, refusal := d.gate.admit(ctx, admitter.Arrive{
-		Rank: j.head.Rank, Deadline: timer.Now() + time.Until(j.deadline), Nested: j.head.Nested, Alone: verdict == quarantiner.RunAlone,
-	})
+	release, refusal := d.gate.admit(ctx, d.arrival(j, verdict == quarantiner.RunAlone))
 	if refusal != nil {
 		settle(ending{})
 		if j.head.IdempotencyKey == "" && time.Now().After(j.deadline) {
