--- a/launcher/fleet_test.go
+++ b/launcher/fleet_test.go
@@ -32,7 +32,7 @@
 	os.Exit(m.Run())
 }
 
-func testConfiguration(t *testing.T) validator.Configuration {
+func testConfiguration(t testing.TB) validator.Configuration {
 	data, err := os.ReadFile("../settings/vatilaane.json")
 	require.NoError(t, err)
 	c, err := validator.Parse(data)
