router, dispatcher: copy buffers are shared

A profile of BenchmarkRequest showed that two new buffers of 32 KiB a request were 72% of the bytes allocated (garbage collection and allocation: about 30% of the processor time). Both now come from a pool.

--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"hibiscusline/applier"
@@ -13,6 +14,9 @@
 
 const copyBuffer = 32 << 10
 
+// buffers are shared by requests, since two new ones a request were most of what a request allocated.
+var buffers = sync.Pool{New: func() any { return new([copyBuffer]byte) }}
+
 // ending says how a request ended, for its idempotency row.
 type ending struct {
 	// dispatched means that the backend server may have run the request.
@@ -155,7 +159,9 @@
 // copyKeeping copies a body and returns its first bytes, one more than limit when it is longer. When the caller is gone, a
 // body that is to be kept is still read to its end, so that the outcome is known when the request is sent again.
 func copyKeeping(w io.Writer, body io.Reader, limit int, writeErr error) (kept []byte, read, write error) {
-	buffer := make([]byte, copyBuffer)
+	pooled := buffers.Get().(*[copyBuffer]byte)
+	defer buffers.Put(pooled)
+	buffer := pooled[:]
 	for {
 		n, err := body.Read(buffer)
 		if limit > 0 && len(kept) <= limit {
--- a/router/forward.go
+++ b/router/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"hibiscusline/applier"
@@ -161,9 +162,14 @@
 
 const copyBuffer = 32 << 10
 
+// buffers are shared by requests, since two new ones a request were most of what a request allocated.
+var buffers = sync.Pool{New: func() any { return new([copyBuffer]byte) }}
+
 // copyFlushing copies a body and flushes after each part, so that a streaming answer is not held back.
 func copyFlushing(w http.ResponseWriter, body io.Reader) (int64, error) {
-	buffer := make([]byte, copyBuffer)
+	pooled := buffers.Get().(*[copyBuffer]byte)
+	defer buffers.Put(pooled)
+	buffer := pooled[:]
 	controller := http.NewResponseController(w)
 	var copied int64
 	for {
