experimenter, hibiscuslab: configuration stages of slopes; capacity writes docs/CAPACITY.md

Cause: the earlier stage on the size of configurations published sets that the fold refused (rules behind a rule that matches everything), and an append that was cut short left a wrong base version. Its traffic was right, its CPU was not. Change: sets are valid, appends are never cut short, and the stage fails unless the version published last is in force. New stages: one changed rule published as changes, and the time until a configuration is in force in all processes. hibiscuslab capacity works the page out from the output by a template, so that its arithmetic follows from the figures that it quotes.

--- a/cmd/hibiscuslab/root.go
+++ b/cmd/hibiscuslab/root.go
@@ -13,7 +13,7 @@
 		Short:        "Test tools of hibiscusline",
 		SilenceUsage: true,
 	}
-	root.AddCommand(newTableCommand(),
+	root.AddCommand(newTableCommand(), newCapacityCommand(),
 		newLogCommand(), newServerCommand(), newLoadCommand(), newExperimentCommand(), newDaemonCommand(), newDemoCommand(),
 		newCertificatesCommand(),
 	)
--- a/experimenter/slopes.go
+++ b/experimenter/slopes.go
@@ -28,10 +28,13 @@
 	// Peers varies the number of idle processes, Mesh the open connections of 72 and fewer.
 	Peers Stage `json:"peers"`
 	Mesh  Stage `json:"mesh"`
+	// Spread is the time until a configuration is in force everywhere, by the number of processes.
+	Spread []Spread `json:"spread"`
 	// Table varies the members in the table; each has 16 ranges. Records and Configurations have 11,000 members there.
 	Table          Stage         `json:"table"`
 	Records        Stage         `json:"records"`
 	Configurations Stage         `json:"configurations"`
+	Changes        Stage         `json:"changes"`
 	Requests       []RequestCost `json:"requests"`
 	Tables         []TableCosts  `json:"tables"`
 }
@@ -158,11 +161,19 @@
 // start starts a fleet of idle processes and waits until their guardians have settled.
 func (r slopesRun) start(ctx context.Context, count int, c launcher.Config) (*launcher.Fleet, error) {
 	const settle = 5 * time.Second
-	c.Command, c.Seed, c.Zones = r.Command, r.Seed, r.zones()
+	c.Command, c.Seed = r.Command, r.Seed
+	if c.Zones == nil {
+		c.Zones = r.zones()
+	}
 	c.Services = []launcher.Service{{Name: idleService, Servers: count, Slots: 12, Connections: 110}}
 	ctx, cancel := context.WithTimeout(ctx, 2*time.Minute)
 	defer cancel()
 	f, err := launcher.Start(ctx, c)
+	if err != nil && ctx.Err() == nil {
+		// Another program may have taken a port between its choice and its use.
+		fmt.Fprintf(r.Progress, "slopes: start again after: %v\n", err)
+		f, err = launcher.Start(ctx, c)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -179,6 +190,9 @@
 			return err
 		}
 		before, err := observe(ctx, float64(count), f.Nodes, r.span)
+		if err == nil {
+			err = r.spread(ctx, f, s)
+		}
 		if err == nil {
 			err = r.connectAll(ctx, f)
 		}
--- a/experimenter/slopesrecords.go
+++ b/experimenter/slopesrecords.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"hibiscusline/appender"
 	"hibiscusline/applier"
 	"hibiscusline/emulator"
@@ -48,7 +50,8 @@
 func (r slopesRun) table(ctx context.Context, s *Slopes) error {
 	var points []NodeCosts
 	for _, members := range []int{220, 2200, 5500, targetMembers} {
-		f, err := r.start(ctx, 12, launcher.Config{Prepare: r.prepare(members)})
+		// In one zone only two of the processes read the log, and the others get the records from peers, as in a large fleet.
+		f, err := r.start(ctx, 12, launcher.Config{Prepare: r.prepare(members), Zones: r.zones()[:1]})
 		if err != nil {
 			return err
 		}
@@ -88,65 +91,93 @@
 		points = append(points, point)
 	}
 	s.Records = newStage("records per second", points)
-	points = nil
+	return r.configurations(ctx, f, s, configuration, version)
+}
+
+// configurations measures changes of configurations of several sizes, published whole and as changes of one rule.
+func (r slopesRun) configurations(ctx context.Context, f *launcher.Fleet, s *Slopes, base validator.Configuration, version applier.Offset) error {
+	var whole, changes []NodeCosts
 	for _, rules := range []int{0, 200, 800, 3000} {
-		c := configuration
-		c.Rules = append([]validator.Rule{}, configuration.Rules...)
-		for i := range rules {
-			c.Rules = append(c.Rules, validator.Rule{
-				Name: fmt.Sprintf("extra-%d", i), Service: idleService, PathPrefix: fmt.Sprintf("/path/%d", i), Rank: "all",
-			})
+		sets := [2]validator.Configuration{base, base}
+		for i := range sets {
+			// The last rule of a service matches all its requests, so further ones come before it.
+			sets[i].Rules = []validator.Rule{{Name: "changing", Service: idleService, PathPrefix: fmt.Sprintf("/%d", i), Rank: "all"}}
+			for k := range rules {
+				sets[i].Rules = append(sets[i].Rules, validator.Rule{
+					Name: fmt.Sprintf("extra-%d", k), Service: idleService, PathPrefix: fmt.Sprintf("/path/%d", k), Rank: "all",
+				})
+			}
+			sets[i].Rules = append(sets[i].Rules, base.Rules...)
 		}
-		size := 0
-		point, err := r.whileAppending(ctx, f, 1, func() (applier.Record, error) {
-			propose := applier.Propose{Author: "launcher", Base: version, Configuration: c}
-			data, err := applier.Encode(appender.NewEnvelope(propose))
-			size = len(data)
-			return propose, err
-		}, &version)
-		if err != nil {
-			return err
+		size, step := 0, 0
+		publish := func(asChanges bool) func() (applier.Record, error) {
+			return func() (applier.Record, error) {
+				step++
+				propose := applier.Propose{Author: "launcher", Base: version, Configuration: sets[step%2]}
+				data, err := applier.Encode(appender.NewEnvelope(propose))
+				size = max(size, len(data))
+				if asChanges {
+					c := validator.ChangesBetween(sets[1-step%2], sets[step%2])
+					propose.Configuration, propose.Changes = validator.Configuration{}, &c
+				}
+				return propose, err
+			}
 		}
-		point.X = float64(size) / 1000
-		points = append(points, point)
+		for i, into := range []*[]NodeCosts{&whole, &changes} {
+			point, err := r.whileAppending(ctx, f, 1, publish(i == 1), &version)
+			if err != nil {
+				return err
+			}
+			point.X = float64(size) / 1000
+			*into = append(*into, point)
+		}
+	}
+	state, err := f.State(ctx)
+	if err != nil {
+		return err
+	}
+	var inForce applier.Offset
+	state.View(func(st *applier.State) { inForce = st.Version })
+	if inForce != version {
+		return errors.Errorf("configuration version %d is in force, %d was published last", inForce, version)
 	}
-	s.Configurations = newStage("kB per change, one change per second", points)
+	s.Configurations = newStage("kB of the set, published whole once per second", whole)
+	s.Changes = newStage("kB of the set, one rule changed per second", changes)
 	return nil
 }
 
 // whileAppending measures while records are appended at a rate. The offset of the last one is stored for the next.
 func (r slopesRun) whileAppending(ctx context.Context, f *launcher.Fleet, rate float64, next func() (applier.Record, error), last ...*applier.Offset) (NodeCosts, error) {
-	ctx, cancel := context.WithCancel(ctx)
+	stop := make(chan struct{})
 	done := make(chan error, 1)
 	go func() {
 		ticker := time.NewTicker(time.Duration(float64(time.Second) / rate))
 		defer ticker.Stop()
 		for {
 			select {
-			case <-ctx.Done():
+			case <-stop:
 				done <- nil
 				return
 			case <-ticker.C:
 			}
+			// An append is never cut short, since the next record may depend on its offset.
 			record, err := next()
 			if err != nil {
 				done <- err
 				return
 			}
 			offset, err := f.Client.Append(ctx, appender.NewEnvelope(record))
-			if err != nil && ctx.Err() == nil {
+			if err != nil {
 				done <- err
 				return
 			}
 			for _, l := range last {
-				if err == nil {
-					*l = offset
-				}
+				*l = offset
 			}
 		}
 	}()
 	point, err := observe(ctx, rate, f.Nodes, r.span)
-	cancel()
+	close(stop)
 	if appendErr := <-done; err == nil {
 		err = appendErr
 	}
