--- a/experimenter/slopes.go
+++ b/experimenter/slopes.go
@@ -101,18 +101,25 @@
 	return s, nil
 }
 
+// revision is the commit, for builds without version control information:
+// go build -ldflags "-X hibiscusline/experimenter.revision=$(git rev-parse --short=12 HEAD)" ./cmd/hibiscuslab
+var revision string
+
 func commit() string {
+	if revision != "" {
+		return revision
+	}
 	info, _ := debug.ReadBuildInfo()
-	revision, modified := "unknown", ""
+	stamped, modified := "unknown", ""
 	for _, setting := range info.Settings {
 		switch {
 		case setting.Key == "vcs.revision":
-			revision = setting.Value[:min(12, len(setting.Value))]
+			stamped = setting.Value[:min(12, len(setting.Value))]
 		case setting.Key == "vcs.modified" && setting.Value == "true":
 			modified = "+modified"
 		}
 	}
-	return revision + modified
+	return stamped + modified
 }
 
 // tables measures tables in processes of their own.
