--- a/experimenter/slopesrecords.go
+++ b/experimenter/slopesrecords.go
@@ -104,11 +104,14 @@
 			sets[i].Rules = []validator.Rule{{Name: "changing", Service: idleService, PathPrefix: fmt.Sprintf("/%d", i), Rank: "all"}}
 			for k := range rules {
 				sets[i].Rules = append(sets[i].Rules, validator.Rule{
-					Name: fmt.Sprintf("extra-%d", k), Service: idleService, PathPrefix: fmt.Sprintf("/path/%d", k), Rank: "all",
+					Name: fmt.Sprintf("extra-%d", k), Service: idleService, PathPrefix: fmt.Sprintf("/path/%04d", k), Rank: "all",
 				})
 			}
 			sets[i].Rules = append(sets[i].Rules, base.Rules...)
 		}
+		if err := validator.Check(sets[0]); err != nil {
+			return err
+		}
 		size, step := 0, 0
 		publish := func(asChanges bool) func() (applier.Record, error) {
 			return func() (applier.Record, error) {
