--- /dev/null
+++ b/experimenter/plot.go
@@ -0,0 +1,51 @@
+package experimenter
+
+import (
+	"path/filepath"
+
+	"github.com/pkg/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// linePlot is a plot of lines that is saved as PNG.
+type linePlot struct {
+	title, x, y, file string
+	lines             []line
+}
+
+type line struct {
+	name   string
+	points []point
+}
+
+type point struct{ x, y float64 }
+
+// add adds a line that has points.
+func (p *linePlot) add(l line) {
+	if len(l.points) > 0 {
+		p.lines = append(p.lines, l)
+	}
+}
+
+func (p linePlot) save(directory string) error {
+	const width, height = 18 * vg.Centimeter, 9 * vg.Centimeter
+	drawn := plot.New()
+	drawn.Title.Text, drawn.X.Label.Text, drawn.Y.Label.Text = p.title, p.x, p.y
+	drawn.Legend.Top = true
+	drawn.Y.Min = 0
+	var arguments []any
+	for _, l := range p.lines {
+		points := make(plotter.XYs, len(l.points))
+		for i, at := range l.points {
+			points[i] = plotter.XY{X: at.x, Y: at.y}
+		}
+		arguments = append(arguments, l.name, points)
+	}
+	if err := plotutil.AddLines(drawn, arguments...); err != nil {
+		return errors.Wrap(err, p.title)
+	}
+	return errors.Wrap(drawn.Save(width, height, filepath.Join(directory, p.file)), p.title)
+}
