dispatcher, emulator: a request that was fenced after it ran is unknown, not "not run"

Cause: a server that rejects an old epoch when a request takes effect answered like one that rejects it at the start, and the caller was told "not run" of a request that had run without effect. Ruled out: treating both as unknown (entries may safely retry the first kind). Change: Hibiscus-Fenced says "before" or "after"; only "before" is not run. A fenced suspect is no longer cleared.

--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -41,11 +41,8 @@
 		return d.failed(ctx, j, x, settle, running, release)
 	}
 	defer x.response.Body.Close()
-	if x.response.StatusCode == http.StatusConflict && x.response.Header.Get(HeaderFenced) != "" {
-		d.finish(running)
-		release(false)
-		settle(ending{})
-		return d.refuse(j, encoder.FencedOff)
+	if fenced := x.response.Header.Get(HeaderFenced); x.response.StatusCode == http.StatusConflict && fenced != "" {
+		return d.fenced(j, fenced, settle, running, release)
 	}
 	err := d.relay(j, sink, x.response, settle)
 	d.finish(running)
@@ -53,8 +50,23 @@
 	return err
 }
 
-// HeaderFenced marks a backend server's refusal of an old epoch.
-const HeaderFenced = "Hibiscus-Fenced"
+// HeaderFenced marks a backend server's refusal of an old epoch. FencedBefore says that the request was not run; any other
+// value means that it may have been.
+const (
+	HeaderFenced = "Hibiscus-Fenced"
+	FencedBefore = "before"
+)
+
+func (d *Dispatcher) fenced(j *job, when string, settle func(ending), r running, release func(bool)) error {
+	d.suspects.cancel(r)
+	release(false)
+	if when == FencedBefore {
+		settle(ending{})
+		return d.refuse(j, encoder.FencedOff)
+	}
+	settle(ending{dispatched: true})
+	return d.respond(j, encoder.Response{Outcome: encoder.Unknown, Reason: encoder.FencedOff})
+}
 
 func (d *Dispatcher) finish(r running) {
 	cleared := d.suspects.finish(r)
--- a/emulator/execute.go
+++ b/emulator/execute.go
@@ -115,7 +115,7 @@
 		return
 	}
 	if s.stale(t) {
-		s.refuseStale(w, r)
+		s.refuseStale(w, r, "before")
 		return
 	}
 	switch s.execute(ctx, r, t) {
@@ -124,7 +124,7 @@
 	case Cancelled:
 		s.refuse(w, r, http.StatusGatewayTimeout, DeadlinePassed, "the deadline passed while the request ran")
 	case Fenced:
-		s.refuseStale(w, r)
+		s.refuseStale(w, r, "after")
 	case Failed:
 		s.refuse(w, r, http.StatusInternalServerError, Failing, "the server fails requests although it is healthy")
 	default:
@@ -136,9 +136,9 @@
 	return s.config.Fenced && t.granted && !s.config.Fence.Admit(t.grant)
 }
 
-func (s *Server) refuseStale(w http.ResponseWriter, r *http.Request) {
+func (s *Server) refuseStale(w http.ResponseWriter, r *http.Request, when string) {
 	s.count(func(c *ServerCounts) { c.Stale++ })
-	w.Header().Set("Hibiscus-Fenced", "true")
+	w.Header().Set("Hibiscus-Fenced", when)
 	s.refuse(w, r, http.StatusConflict, StaleEpoch, "the range was seen with a newer epoch")
 }
 
