--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -113,7 +113,7 @@
 // and leaves. It returns an error if it can't listen or if the stop was not graceful.
 func (d *Daemon) Run(ctx context.Context) error {
 	d.started = time.Now()
-	tuneCollector()
+	tuneCollector(0)
 	credentials, err := transporter.LoadCredentials(
 		d.config.Settings.TLS.CA, d.config.Settings.TLS.Certificate, d.config.Settings.TLS.Key)
 	if err != nil {
--- a/daemon/log.go
+++ b/daemon/log.go
@@ -183,13 +183,17 @@
 	return nil
 }
 
-// collectorPercent lets the heap grow by half of what is live before a collection. At Go's default of 100 a process with
-// 11,000 members exceeded 64 MB while large configurations were published.
-const collectorPercent = 50
-
-func tuneCollector() {
+// tuneCollector sets how far the heap grows between two collections: by some 12 MB, whatever the size of the state. Go's
+// default, the double of what is live, exceeded 64 MB with 176,000 ranges while large configurations were published. Half
+// of what is live, which keeps that within the limit, made small fleets spend up to 40% more CPU on a request.
+func tuneCollector(ranges int) {
+	const (
+		garbage  = 12 << 20
+		live     = 5 << 20
+		perRange = 100
+	)
 	if os.Getenv("GOGC") == "" {
-		debug.SetGCPercent(collectorPercent)
+		debug.SetGCPercent(100 * garbage / (live + perRange*ranges))
 	}
 }
 
@@ -267,11 +271,16 @@
 		rangesPerRecord = 4
 	)
 	written := time.Now()
+	tuned := 0
 	every(ctx, interval, func() {
 		var due bool
 		var pieces []applier.Checkpoint
 		ready, self := d.state.Ready(), d.self()
 		d.state.View(func(s *applier.State) {
+			if ranges := rangesOf(s); ranges != tuned {
+				tuned = ranges
+				tuneCollector(ranges)
+			}
 			if s.Oldest() != self || s.Applied == 0 || !ready || time.Since(written) < 5*interval {
 				return
 			}
