daemon: a planned stop answers the requests of connections that were just opened

Cause: http.Server.Shutdown closes connections whose first request it reads after its call, and closing a listener resets those that wait for Accept. Callers that follow the stopping process's Connection: close open many of these. Ruled out: idle connections that the server closes while a caller uses them again: the failures stayed with a connection for each request. Change: before Shutdown the listener hands over every established connection, and the process waits until none is busy.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -162,8 +162,11 @@
 // servers are the HTTP servers of a daemon.
 type servers struct {
 	callers *http.Server
-	local   *http.Server
-	admin   *http.Server
+	// accepting is the listener of callers.
+	accepting *finalListener
+	busy      connections
+	local     *http.Server
+	admin     *http.Server
 }
 
 // close cuts all connections.
@@ -204,8 +207,14 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "listen")
 		}
+		if l.server == s.callers {
+			s.accepting = newFinalListener(listener)
+			s.callers.ConnState = s.busy.note
+			listener = s.accepting
+		}
 		d.tasks.Go(func() {
-			if err := l.server.Serve(limitListener(listener, l.limit)); !errors.Is(err, http.ErrServerClosed) {
+			err := l.server.Serve(limitListener(listener, l.limit))
+			if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 				d.log("state", "listener failed", "address", l.address, "err", err)
 			}
 		})
--- a/daemon/move.go
+++ b/daemon/move.go
@@ -303,6 +303,9 @@
 	// Requests in flight get their own time: a log that is down uses up the time for leaving.
 	ctx, cancelFinish := context.WithTimeout(context.Background(), finishTimeout)
 	defer cancelFinish()
+	// Shutdown closes connections whose first request it has not read yet.
+	s.accepting.Finish()
+	s.busy.quiet(ctx)
 	shutdownErr := s.callers.Shutdown(ctx)
 	for _, server := range []interface{ Shutdown(context.Context) error }{s.local, s.admin} {
 		if err := server.Shutdown(ctx); err != nil && shutdownErr == nil {
