router: answers of a member that left are awaited

Cause: entries cancel their requests at members that leave the state. After a planned stop the Leave record could arrive before the last answers of that member, and their outcome became unknown (peer_unreachable). Ruled out: the close of the QUIC connection, which comes half a second later. Change: requests at a member that left are cancelled a second later; those at a lost one at once, as before.

--- a/router/removals.go
+++ b/router/removals.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"hibiscusline/applier"
 	"hibiscusline/follower"
 )
 
+// leftGrace is the time for the last answers of a member that left. It exceeds the pause before its process ends.
+const leftGrace = time.Second
+
 // removals cancels attempts at members that leave the state. QUIC alone would notice a killed process only after its
 // idle time-out. The zero value is ready for use.
 type removals struct {
@@ -67,10 +71,16 @@
 		}
 		f.View(func(s *applier.State) {
 			for id, w := range v.members {
-				if _, present := s.Members[id]; !present {
+				if _, present := s.Members[id]; present {
+					continue
+				}
+				if removal, known := s.Removal(id); known && removal.Cause == applier.Left {
+					// The member has answered everything; its last answers may still be on their way.
+					time.AfterFunc(leftGrace, w.cancel)
+				} else {
 					w.cancel()
-					delete(v.members, id)
 				}
+				delete(v.members, id)
 			}
 		})
 		v.mu.Unlock()
