admitter: no bound by the target for a rank below its floor

The bound for standing queues, made for ranks with more work than they can have done, also held for a queue that came from uneven arrivals. Change: a queue counts as standing only if its rank uses at least 95% of its floor.

--- a/admitter/choose.go
+++ b/admitter/choose.go
@@ -123,7 +123,7 @@
 // as there are slots for.
 func (a *Admitter) admissible(e *entry) bool {
 	wait := a.expectedWait(e)
-	if e.Alone || e.Nested || !e.queue.standing(a.now) {
+	if e.Alone || e.Nested || !e.queue.standing(a.now, a.slots) {
 		return a.reachable(e, wait)
 	}
 	return a.reachable(e, wait) && wait+e.queue.service.safe() <= time.Duration(targetShare*float64(e.queue.Target))
@@ -148,7 +148,7 @@
 	if e.Nested {
 		return time.Duration(float64(own) / float64(max(a.reserved(), 1)))
 	}
-	if e.queue.standing(a.now) {
+	if e.queue.standing(a.now, a.slots) {
 		// Starts tell how fast the queue moves. The mean service time times the length of the queue is less certain: it
 		// follows the latest few requests and was off by a third, so the queue grew whenever it was too low.
 		return time.Duration(float64(len(*e.queue.list(e.Nested))) / max(e.queue.startRate, leastRate) * float64(time.Second))
--- a/admitter/flood_test.go
+++ b/admitter/flood_test.go
@@ -152,6 +152,14 @@
 		require.Greater(t, float64(o[0].inTime), 0.9*800*20, "a standing queue must not make all answers late")
 		require.Less(t, float64(o[0].late), 0.1*float64(o[0].inTime))
 	})
+	t.Run("less than the floor", func(t *testing.T) {
+		c := classes(6000, 190, 100)
+		c[1].Target = 50 * time.Millisecond
+		c[0].timeout, c[1].timeout, c[2].timeout = time.Second, time.Second, 2*time.Second
+		o := simulate(Config{Slots: 12, QueueLimit: 2000}, c, seconds)
+		t.Logf("%+v", o)
+		require.Zero(t, o[1].refused, "a rank that asks for less than its floor must get it")
+	})
 	t.Run("long requests", func(t *testing.T) {
 		c := classes(600, 6000, 100)
 		c[0].service, c[0].Target = 200*time.Millisecond, 2*time.Second
--- a/admitter/rank.go
+++ b/admitter/rank.go
@@ -74,10 +74,14 @@
 // that bursts cause at loads below the capacity.
 const standingAfter = 500 * time.Millisecond
 
+// floorUsed is the part of its floor that a rank must use for its queue to count as standing.
+const floorUsed = 0.95
+
 // standing reports whether the rank gets more work than it can have done. Then each request that waits longer than the
-// target makes all later ones miss the target too. A rank that can't meet its target anyway has no standing queue.
-func (q *queue) standing(now time.Duration) bool {
-	return now-q.emptied >= standingAfter && q.service.safe() < q.Target
+// target makes all later ones miss the target too. A rank that can't meet its target anyway has no standing queue, nor has
+// one that uses less than its floor: its queue comes from the unevenness of arrivals, and it is due all that it asks for.
+func (q *queue) standing(now time.Duration, slots int) bool {
+	return now-q.emptied >= standingAfter && q.service.safe() < q.Target && q.busy >= floorUsed*q.Floor*float64(slots)
 }
 
 // charge books the expected slot time of a request that starts. Slots that were free cost at most one service time, so
