--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"hibiscusline/applier"
@@ -13,6 +14,9 @@
 
 const copyBuffer = 32 << 10
 
+// buffers are shared by requests, since two new ones a request were most of what a request allocated.
+var buffers = sync.Pool{New: func() any { return new([copyBuffer]byte) }}
+
 // ending says how a request ended, for its idempotency row.
 type ending struct {
 	// dispatched means that the backend server may have run the request.
@@ -37,11 +41,8 @@
 		return d.failed(ctx, j, x, settle, running, release)
 	}
 	defer x.response.Body.Close()
-	if x.response.StatusCode == http.StatusConflict && x.response.Header.Get(HeaderFenced) != "" {
-		d.finish(running)
-		release(false)
-		settle(ending{})
-		return d.refuse(j, encoder.FencedOff)
+	if fenced := x.response.Header.Get(HeaderFenced); x.response.StatusCode == http.StatusConflict && fenced != "" {
+		return d.fenced(j, fenced, settle, running, release)
 	}
 	err := d.relay(j, sink, x.response, settle)
 	d.finish(running)
@@ -49,8 +50,23 @@
 	return err
 }
 
-// HeaderFenced marks a backend server's refusal of an old epoch.
-const HeaderFenced = "Hibiscus-Fenced"
+// HeaderFenced marks a backend server's refusal of an old epoch. FencedBefore says that the request was not run; any other
+// value means that it may have been.
+const (
+	HeaderFenced = "Hibiscus-Fenced"
+	FencedBefore = "before"
+)
+
+func (d *Dispatcher) fenced(j *job, when string, settle func(ending), r running, release func(bool)) error {
+	d.suspects.cancel(r)
+	release(false)
+	if when == FencedBefore {
+		settle(ending{})
+		return d.refuse(j, encoder.FencedOff)
+	}
+	settle(ending{dispatched: true})
+	return d.respond(j, encoder.Response{Outcome: encoder.Unknown, Reason: encoder.FencedOff})
+}
 
 func (d *Dispatcher) finish(r running) {
 	cleared := d.suspects.finish(r)
@@ -155,7 +171,9 @@
 // copyKeeping copies a body and returns its first bytes, one more than limit when it is longer. When the caller is gone, a
 // body that is to be kept is still read to its end, so that the outcome is known when the request is sent again.
 func copyKeeping(w io.Writer, body io.Reader, limit int, writeErr error) (kept []byte, read, write error) {
-	buffer := make([]byte, copyBuffer)
+	pooled := buffers.Get().(*[copyBuffer]byte)
+	defer buffers.Put(pooled)
+	buffer := pooled[:]
 	for {
 		n, err := body.Read(buffer)
 		if limit > 0 && len(kept) <= limit {
