router: a request that one member refuses for overload is tried at another

Cause: an unkeyed request was refused when the one member that it was sent to had no room, while others had. Ruled out: retrying keyed requests (only the owner may run them); retries without budget (a flood would multiply). Change: such a refusal is retried at a member that was not tried, within the retry budget; table test of attempts. TestAttempts/overload_elsewhere fails without the change. The remaining failure per user (an order cut or timed out) is not explained.

--- a/router/forward.go
+++ b/router/forward.go
@@ -83,6 +83,10 @@
 	}
 	switch r.Outcome {
 	case encoder.NotRun:
+		if r.Reason == encoder.Overloaded && sent && !c.head.Keyed {
+			// Another member may have room. The budget keeps a flood from multiplying.
+			return rt.config.Budget.Retry()
+		}
 		return r.Reason.Transient()
 	case encoder.Unknown, encoder.Answered:
 		c.head.Crashes = append(c.head.Crashes, r.Crashes...)
--- /dev/null
+++ b/router/forward_test.go
@@ -0,0 +1,126 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/stretchr/testify/require"
+
+	"hibiscusline/applier"
+	"hibiscusline/encoder"
+	"hibiscusline/follower"
+	"hibiscusline/validator"
+)
+
+// script answers the attempts of one request in order.
+type script struct {
+	answers []encoder.Response
+	members []applier.MemberID
+}
+
+func (s *script) Exchange(_ context.Context, m applier.Member, _ encoder.Request, _ Body) (encoder.Response, ResponseBody) {
+	answer := s.answers[len(s.members)]
+	s.members = append(s.members, m.ID)
+	if answer.Outcome != encoder.Answered {
+		return answer, nil
+	}
+	return answer, io.NopCloser(strings.NewReader("done"))
+}
+
+// firstUntried chooses the first member that was not tried.
+type firstUntried struct{}
+
+func (firstUntried) Pick(members []applier.Member, avoid []applier.MemberID) (applier.MemberID, bool) {
+	return members[min(len(avoid), len(members)-1)].ID, true
+}
+func (firstUntried) Started(applier.MemberID)                                   {}
+func (firstUntried) Finished(applier.MemberID, encoder.Response, time.Duration) {}
+
+type noLimit struct{}
+
+func (noLimit) Observe(bool) {}
+func (noLimit) Retry() bool  { return true }
+
+func testState(t *testing.T) *follower.Follower {
+	f := &follower.Follower{}
+	records := []applier.Record{applier.Propose{Author: "liis", Configuration: validator.Configuration{
+		Services: map[string]validator.Service{
+			"archive": {MaxRequest: validator.Duration(time.Second)},
+			"desk":    {Keyed: true, InitialRanges: 1, MaxRequest: validator.Duration(time.Second)},
+		},
+		Ranks: map[string]validator.Rank{"order": {Target: validator.Duration(time.Second)}},
+		Rules: []validator.Rule{
+			{Name: "archive", Service: "archive", Rank: "order"}, {Name: "desk", Service: "desk", Rank: "order"},
+		},
+		Policy: validator.Policy{Operators: []string{"liis"}},
+	}}}
+	for i := range 3 {
+		service := "archive"
+		if i == 2 {
+			service = "desk"
+		}
+		records = append(records, applier.Join{Member: applier.Member{ID: applier.MemberID(i + 1), Service: service}})
+	}
+	b := follower.Batch{First: 1, Next: applier.Offset(len(records) + 1), Start: 1}
+	for i, r := range records {
+		data, err := applier.Encode(applier.Envelope{ID: fmt.Sprint(i), Record: r})
+		require.NoError(t, err)
+		b.Records = append(b.Records, data)
+	}
+	_, err := f.Ingest(b)
+	require.NoError(t, err)
+	return f
+}
+
+// TestAttempts guards the outcome that a caller is told: an uncertain attempt never ends as not run, a non-repeatable
+// request is never sent again after one, and a refusal for overload of one member is tried at another.
+func TestAttempts(t *testing.T) {
+	answered := encoder.Response{Outcome: encoder.Answered, Status: http.StatusOK, Length: 4}
+	lost := encoder.Response{Outcome: encoder.Unknown, Reason: encoder.PeerUnreachable}
+	overloaded := encoder.Response{Outcome: encoder.NotRun, Reason: encoder.Overloaded}
+	moving := encoder.Response{Outcome: encoder.NotRun, Reason: encoder.Moving}
+	poison := encoder.Response{Outcome: encoder.NotRun, Reason: encoder.Poison}
+	for _, c := range []struct {
+		name, service, idempotency string
+		answers                    []encoder.Response
+		attempts                   int
+		outcome                    encoder.Outcome
+	}{
+		{"answered", "archive", "", []encoder.Response{answered}, 1, encoder.Answered},
+		{"overload elsewhere", "archive", "", []encoder.Response{overloaded, answered}, 2, encoder.Answered},
+		{"overload of the owner", "desk", "", []encoder.Response{overloaded}, 1, encoder.NotRun},
+		{"moving", "desk", "order-1", []encoder.Response{moving, answered}, 2, encoder.Answered},
+		{"lost, repeatable", "desk", "", []encoder.Response{lost, answered}, 2, encoder.Answered},
+		{"lost, not repeatable", "desk", "order-1", []encoder.Response{lost}, 1, encoder.Unknown},
+		{"lost and refused", "desk", "", []encoder.Response{lost, poison}, 2, encoder.Unknown},
+		{"refused", "desk", "order-1", []encoder.Response{poison}, 1, encoder.NotRun},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := &script{answers: c.answers}
+			rt := New(Config{
+				State: testState(t), Exchanger: s, Chooser: firstUntried{}, Budget: noLimit{},
+				Backoff: func(int) time.Duration { return time.Millisecond }, DefaultTimeout: 10 * time.Second,
+				Parents: func(string) (Parent, bool) { return Parent{}, false }, Metrics: metrics.NewSet(),
+			})
+			request := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/items", nil)
+			request.Header.Set(HeaderService, c.service)
+			if c.service == "desk" {
+				request.Header.Set(HeaderKey, "bolt-1")
+			}
+			if c.idempotency != "" {
+				request.Header.Set(HeaderIdempotency, c.idempotency)
+			}
+			response := httptest.NewRecorder()
+			rt.ServeHTTP(response, request)
+			require.Equal(t, c.outcome.String(), response.Header().Get(HeaderOutcome), response.Body.String())
+			require.Len(t, s.members, c.attempts)
+		})
+	}
+}
