experimenter: capacity page counts the records of merged ranges

Cause: the page said that ranges never merge. Change: five records a hot key, one stream against one for each region. Conclusion: with one stream the traffic limit may not hold; the page says which.

--- a/experimenter/capacity.go
+++ b/experimenter/capacity.go
@@ -24,6 +24,8 @@
 	targetRestarts  = 1200
 	targetHotKeys   = 530
 	rangesPerMember = 16
+	// hotKeyRecords are the records of one hot key: Split, Move to another owner, Move back, and two Merge.
+	hotKeyRecords = 5
 	// hotPeriod is how long the hottest keys stay the same.
 	hotPeriod = 5 * time.Minute
 	// rackMembers is the size of a rack.
@@ -53,6 +55,7 @@
 	// MemberRate is the rate of records that change members.
 	MemberRate, LeaseCPU          float64
 	NodeBytesOut, NodeCPU, NodeMB float64
+	NodeBytesRegion               float64
 	ReaderTotal, ReaderRegion     float64
 	CheckpointSeconds             float64
 	CheckpointBytes               float64
@@ -61,8 +64,8 @@
 	RequestsPerNode, EntryUs, OwnerUs, Cores, P99 float64
 	MBPerConnection, MaxConnections, MeshMB       float64
 	MeshRegionMB                                  float64
-	KeysPerRange, StateMB, StateMaxMB             float64
-	SplitHours                                    float64
+	KeysPerRange, StateMB                         float64
+	HotRanges                                     float64
 	Hops, SpreadMs                                float64
 	Full, Worst                                   TableCosts
 	// JSON is the output of the experiment.
@@ -94,7 +97,7 @@
 	c.FailureRecords = targetFailures * c.PerMember
 	c.RestartRecords = targetRestarts * c.PerMember
 	c.RackRecords = rackMembers * c.PerMember / 7
-	c.HotRecords = 2 * targetHotKeys * day / hotPeriod.Seconds()
+	c.HotRecords = hotKeyRecords * targetHotKeys * day / hotPeriod.Seconds()
 	c.RecordRate = (c.ChangeRecords + c.FailureRecords + c.RestartRecords + c.RackRecords + c.HotRecords) / day
 	c.RecordRateRegion = c.RecordRate / targetRegions
 	c.ZoneMembers = math.Ceil(float64(targetMembers) / targetZones)
@@ -116,6 +119,7 @@
 	changes := c.Changes.Points[len(c.Changes.Points)-1]
 	c.ChangeBytes = changes.PeerOut - full.PeerOut
 	c.NodeBytesOut = c.IdleOut + c.RecordRate*c.RecordBytes
+	c.NodeBytesRegion = c.IdleOut + c.RecordRateRegion*c.RecordBytes
 	c.NodeCPU = c.IdleCPU + c.RecordRate*c.RecordCPU
 	for _, stage := range []Stage{c.Table, c.Records, c.Configurations, c.Changes} {
 		for _, p := range stage.Points {
@@ -134,9 +138,7 @@
 	c.LeaseCPU = c.MemberRate * c.Full.LeaseStepMs / 1000 * 100
 	c.KeysPerRange = targetKeys / (rangesPerMember * targetMembers)
 	c.StateMB = c.Full.StateMB
-	// A fleet may have four times its initial ranges (package balancer), since ranges never merge.
-	c.StateMaxMB = 4 * c.StateMB
-	c.SplitHours = 3 * rangesPerMember * targetMembers / (2 * targetHotKeys / hotPeriod.Hours())
+	c.HotRanges = 2 * targetHotKeys
 	c.Hops = math.Log(targetMembers/(2*targetZones)) / math.Log(4)
 	for _, s := range c.Spread {
 		c.SpreadMs = max(c.SpreadMs, s.MaxMs)
