--- a/daemon/member.go
+++ b/daemon/member.go
@@ -23,7 +23,6 @@
 	server     announcement
 	dispatcher *dispatcher.Dispatcher
 	ranges     *ranges
-	joined     time.Time
 
 	mu      sync.Mutex
 	machine *leaser.Machine
@@ -62,7 +61,7 @@
 
 // join makes this process a member for the backend server that announced itself.
 func (d *Daemon) join(a announcement) {
-	n := &incarnation{id: newMemberID(), server: a, ranges: newRanges(d.config.Settings.Baseline.Static), joined: time.Now()}
+	n := &incarnation{id: newMemberID(), server: a, ranges: newRanges(d.config.Settings.Baseline.Static)}
 	n.machine = leaser.New(leaser.Config{Self: n.id})
 	var ranks []admitter.Rank
 	var nestedShare float64
@@ -75,7 +74,10 @@
 	n.dispatcher = dispatcher.New(dispatcher.Config{
 		State: d.state, Lease: n, Self: func() applier.MemberID { return n.id },
 		Replicator: &replicator{daemon: d, incarnation: n}, Service: a.Service,
-		Admission:   admitter.Config{Slots: a.Slots, Ranks: ranks, QueueLimit: d.config.Settings.Limits.QueueLimit, NestedShare: nestedShare, Policy: admissionPolicy(d.config.Settings.Baseline.Admission)},
+		Admission: admitter.Config{
+			Slots: a.Slots, Ranks: ranks, QueueLimit: d.config.Settings.Limits.QueueLimit, NestedShare: nestedShare,
+			Policy: admissionPolicy(d.config.Settings.Baseline.Admission),
+		},
 		Connections: a.Connections, Metrics: d.metrics, Report: d.reportSuspects,
 		Fetched: func(epoch applier.Offset) bool { _, done := n.fetched.Load(epoch); return done },
 	})
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -151,6 +151,7 @@
 		}
 	})
 	d.config.State.View(func(s *applier.State) { d.suspects.merge(s.Suspects) })
+	d.ownership.forgetWithheld(waits)
 	for epoch, wait := range waits {
 		d.ownership.isWithheld(epoch, wait)
 	}
--- a/dispatcher/ownership.go
+++ b/dispatcher/ownership.go
@@ -122,6 +122,17 @@
 	return now < until
 }
 
+// forgetWithheld drops the waiting times of epochs that need none any more.
+func (o *ownership) forgetWithheld(needed map[applier.Offset]time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for epoch := range o.withheld {
+		if _, present := needed[epoch]; !present {
+			delete(o.withheld, epoch)
+		}
+	}
+}
+
 // Hold stops admitting requests of the ranges and waits until none of them runs. It returns the function that admits them
 // again.
 func (d *Dispatcher) Hold(ctx context.Context, ranges []hasher.Range) (func(), error) {
--- a/encoder/message.go
+++ b/encoder/message.go
@@ -44,24 +44,21 @@
 	BackendLost                    // backend_lost
 	ServerCrashed                  // server_crashed
 	PeerUnreachable                // peer_unreachable
-	Stopping                       // stopping
 	KeyReused                      // idempotency_key_reused
 	OutcomeUnknown                 // outcome_unknown
 	RowsMissing                    // idempotency_rows_missing
 	GuardiansSilent                // guardians_unreachable
 	// RowsPending means that a new owner is still fetching the idempotency rows of a range.
 	RowsPending      // idempotency_rows_pending
-	BodyTooLarge     // body_too_large
 	FencedOff        // fenced_off
 	RetriesExhausted // retries_exhausted
-	IntegrityFailed  // integrity_failed
 	HeaderTooLarge   // header_too_large
 )
 
 // Transient reports whether a request that was not run for this reason may run soon at the same or another process.
 func (r Reason) Transient() bool {
 	switch r {
-	case NotOwner, NoLease, Moving, NoOwner, NotReady, Stopping, PeerUnreachable, FencedOff, BackendLost, GuardiansSilent, RowsPending:
+	case NotOwner, NoLease, Moving, NoOwner, NotReady, PeerUnreachable, FencedOff, BackendLost, GuardiansSilent, RowsPending:
 		return true
 	}
 	return false
--- a/encoder/names.go
+++ b/encoder/names.go
@@ -45,22 +45,19 @@
 	_ = x[BackendLost-14]
 	_ = x[ServerCrashed-15]
 	_ = x[PeerUnreachable-16]
-	_ = x[Stopping-17]
-	_ = x[KeyReused-18]
-	_ = x[OutcomeUnknown-19]
-	_ = x[RowsMissing-20]
-	_ = x[GuardiansSilent-21]
-	_ = x[RowsPending-22]
-	_ = x[BodyTooLarge-23]
-	_ = x[FencedOff-24]
-	_ = x[RetriesExhausted-25]
-	_ = x[IntegrityFailed-26]
-	_ = x[HeaderTooLarge-27]
+	_ = x[KeyReused-17]
+	_ = x[OutcomeUnknown-18]
+	_ = x[RowsMissing-19]
+	_ = x[GuardiansSilent-20]
+	_ = x[RowsPending-21]
+	_ = x[FencedOff-22]
+	_ = x[RetriesExhausted-23]
+	_ = x[HeaderTooLarge-24]
 }
 
-const _Reason_name = "nonebad_requestunknown_servicemissing_keynot_readynot_ownerno_leasemovingno_owneroverloadeddeadline_exceededcancelledpoisonbackend_failedbackend_lostserver_crashedpeer_unreachablestoppingidempotency_key_reusedoutcome_unknownidempotency_rows_missingguardians_unreachableidempotency_rows_pendingbody_too_largefenced_offretries_exhaustedintegrity_failedheader_too_large"
+const _Reason_name = "nonebad_requestunknown_servicemissing_keynot_readynot_ownerno_leasemovingno_owneroverloadeddeadline_exceededcancelledpoisonbackend_failedbackend_lostserver_crashedpeer_unreachableidempotency_key_reusedoutcome_unknownidempotency_rows_missingguardians_unreachableidempotency_rows_pendingfenced_offretries_exhaustedheader_too_large"
 
-var _Reason_index = [...]uint16{0, 4, 15, 30, 41, 50, 59, 67, 73, 81, 91, 108, 117, 123, 137, 149, 163, 179, 187, 209, 224, 248, 269, 293, 307, 317, 334, 350, 366}
+var _Reason_index = [...]uint16{0, 4, 15, 30, 41, 50, 59, 67, 73, 81, 91, 108, 117, 123, 137, 149, 163, 179, 201, 216, 240, 261, 285, 295, 312, 328}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/router/outcome.go
+++ b/router/outcome.go
@@ -41,8 +41,6 @@
 		return http.StatusConflict
 	case encoder.Poison:
 		return http.StatusUnprocessableEntity
-	case encoder.BodyTooLarge:
-		return http.StatusRequestEntityTooLarge
 	case encoder.HeaderTooLarge:
 		return http.StatusRequestHeaderFieldsTooLarge
 	case encoder.Overloaded:
