--- a/experimenter/flood.go
+++ b/experimenter/flood.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -60,10 +61,34 @@
 
 // floodResult is the result of the experiment.
 type floodResult struct {
-	Experiment string          `json:"experiment"`
-	Seed       uint64          `json:"seed"`
-	Customers  []floodCustomer `json:"customers"`
-	Missed     []string        `json:"missed"`
+	Experiment string `json:"experiment"`
+	Seed       uint64 `json:"seed"`
+	// The next three are the lowest of all customers in the flood of 5 times of the least urgent rank.
+	UrgentWithinTarget float64            `json:"urgent_within_target"`
+	OrdersKept         float64            `json:"orders_kept"`
+	Kept               map[string]float64 `json:"kept"`
+
+	Customers []floodCustomer `json:"customers"`
+	Missed    []string        `json:"missed"`
+}
+
+// summarize fills in the figures over all customers.
+func (r *floodResult) summarize() {
+	r.UrgentWithinTarget, r.OrdersKept, r.Kept = math.Inf(1), math.Inf(1), map[string]float64{}
+	for _, c := range r.Customers {
+		for _, f := range c.Policy.Cases {
+			if f.Times != 5 || !slices.Equal(f.Flooded, []string{"pattern"}) {
+				continue
+			}
+			r.UrgentWithinTarget = min(r.UrgentWithinTarget, f.UrgentWithinTarget)
+			r.OrdersKept = min(r.OrdersKept, f.OrdersKept)
+			for rank, kept := range f.Kept {
+				if lowest, present := r.Kept[rank]; !present || kept < lowest {
+					r.Kept[rank] = kept
+				}
+			}
+		}
+	}
 }
 
 type floodCustomer struct {
@@ -135,6 +160,7 @@
 		result.Customers = append(result.Customers, figures)
 		result.Missed = append(result.Missed, figures.missed()...)
 	}
+	result.summarize()
 	return result, nil
 }
 
