daemon: the queue of a closing listener is occupied instead of filtered; its second close is no error

(3) Connections that callers open ahead of use were closed after 10 s. Ruled out: keeping a filter that can't be run here. Change: (1) reverted; the accept queue is shortened to one place, which a connection of the process itself occupies before the close. (2) Close after Finish does nothing; TestFinishAcceptsAll failed first. (3) 1 min instead of 10 s.

--- a/daemon/accept.go
+++ b/daemon/accept.go
@@ -22,21 +22,11 @@
 	return &finalListener{TCPListener: l.(*net.TCPListener), closed: make(chan struct{})}
 }
 
-// handshakeTime is the time in which a connection whose set-up has begun is established. Callers are about 8 ms away.
-const handshakeTime = 100 * time.Millisecond
-
 // Finish closes the listener and returns when Accept has returned all connections, or after a second.
-//
-// It first makes the system ignore new attempts to connect and waits until those that have begun are established, so that
-// none is left to be reset. A caller whose attempt is ignored repeats it after a second and is then refused.
 func (l *finalListener) Finish() {
-	if l.finishing.Load() {
+	if l.finishing.Swap(true) {
 		return
 	}
-	if err := l.ignoreNew(); err == nil {
-		time.Sleep(handshakeTime)
-	}
-	l.finishing.Store(true)
 	// The deadline wakes Accept. If it can't be set the next connection does.
 	_ = l.SetDeadline(time.Now())
 	// Accept is not called while the limit of connections is reached.
@@ -47,34 +37,12 @@
 	}
 }
 
-// ignoreNew attaches a socket filter that drops segments with SYN and without ACK, the first of a connection.
-func (l *finalListener) ignoreNew() error {
-	const (
-		flagsOffset = 13 // of the TCP header
-		syn         = 0x02
-		ack         = 0x10
-		whole       = 0x40000
-	)
-	program := []unix.SockFilter{
-		{Code: unix.BPF_LD | unix.BPF_B | unix.BPF_ABS, K: flagsOffset},
-		{Code: unix.BPF_ALU | unix.BPF_AND | unix.BPF_K, K: syn | ack},
-		{Code: unix.BPF_JMP | unix.BPF_JEQ | unix.BPF_K, K: syn, Jt: 0, Jf: 1},
-		{Code: unix.BPF_RET | unix.BPF_K, K: 0},
-		{Code: unix.BPF_RET | unix.BPF_K, K: whole},
-	}
-	raw, err := l.SyscallConn()
-	if err != nil {
-		return err
-	}
-	var attachErr error
-	err = raw.Control(func(fd uintptr) {
-		attachErr = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER,
-			&unix.SockFprog{Len: uint16(len(program)), Filter: &program[0]})
-	})
-	if err != nil {
-		return err
+// Close closes the listener. After Finish it does nothing, since the HTTP server closes its listeners once more.
+func (l *finalListener) Close() error {
+	if l.finishing.Load() {
+		return nil
 	}
-	return attachErr
+	return l.TCPListener.Close()
 }
 
 // Accept returns the next connection, and net.ErrClosed after Finish when none is left.
@@ -100,26 +68,38 @@
 	return nil, net.ErrClosed
 }
 
-// sweep takes the connections that wait and closes the listener. Between the two no other work is done, since a connection
-// that is established in that time is reset.
+// sweep takes the connections that wait and closes the listener.
+//
+// A connection that is established between the last accept and the close would be reset. The queue of the listener is
+// therefore shortened to one place, which a connection of its own occupies before the close: the system then ignores
+// further attempts to connect, whose callers try again and are refused.
 func (l *finalListener) sweep() (waiting []net.Conn) {
 	raw, err := l.SyscallConn()
 	if err != nil {
 		return nil
 	}
 	var sockets []int
+	var occupant net.Conn
 	// The callback has no error of its own: accepting ends when no connection waits.
 	_ = raw.Control(func(fd uintptr) {
-		for {
-			socket, _, err := unix.Accept4(int(fd), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
-			if err != nil {
+		// Without the shorter queue the listener is closed as soon as no connection waits.
+		shortened := unix.Listen(int(fd), 0) == nil
+		for range occupyAttempts {
+			sockets = append(sockets, acceptAll(int(fd))...)
+			if !shortened {
+				return
+			}
+			if occupant, err = net.DialTimeout("tcp", l.Addr().String(), occupyTimeout); err == nil {
 				return
 			}
-			sockets = append(sockets, socket)
 		}
 	})
 	// Nothing is left to do for a listener that can't be closed.
 	_ = l.TCPListener.Close()
+	if occupant != nil {
+		// The connection carried nothing.
+		_ = occupant.Close()
+	}
 	for _, socket := range sockets {
 		file := os.NewFile(uintptr(socket), "caller")
 		if c, err := net.FileConn(file); err == nil {
@@ -130,3 +110,20 @@
 	}
 	return waiting
 }
+
+const (
+	// occupyAttempts bounds the attempts to occupy the queue; each fails only if a caller took the place first.
+	occupyAttempts = 20
+	occupyTimeout  = 20 * time.Millisecond
+)
+
+// acceptAll takes all connections that wait at a listening socket.
+func acceptAll(fd int) (sockets []int) {
+	for {
+		socket, _, err := unix.Accept4(fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		if err != nil {
+			return sockets
+		}
+		sockets = append(sockets, socket)
+	}
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -190,7 +190,7 @@
 	s := &servers{
 		callers: &http.Server{
 			Handler: d.callerHandler(), MaxHeaderBytes: limits.MaxHeaderBytes + headerSlack, Protocols: protocols,
-			ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute,
+			ReadHeaderTimeout: time.Minute, IdleTimeout: 2 * time.Minute,
 		},
 		local: &http.Server{Handler: d.localHandler(), ReadTimeout: 5 * time.Second, MaxHeaderBytes: limits.MaxHeaderBytes},
 		admin: &http.Server{Handler: d.adminHandler(), ReadTimeout: 5 * time.Second, MaxHeaderBytes: limits.MaxHeaderBytes},
--- a/launcher/node.go
+++ b/launcher/node.go
@@ -263,12 +263,22 @@
 	}
 	select {
 	case <-p.done:
-		return p.err
+		return errors.WithMessage(p.err, n.lastLogLines())
 	case <-ctx.Done():
 		return errors.Wrapf(ctx.Err(), "process %s did not stop", n.Name)
 	}
 }
 
+// lastLogLines returns the end of the log of a hibiscusd that runs as a process, to explain its failure.
+func (n *Node) lastLogLines() string {
+	const size = 600
+	data, err := os.ReadFile(filepath.Join(n.fleet.config.Directory, n.Name+".log"))
+	if err != nil {
+		return n.Name + " has no log"
+	}
+	return n.Name + ": " + string(data[max(0, len(data)-size):])
+}
+
 // Kill ends the hibiscusd at once. One inside this process still closes its connections, so its peers notice its end
 // sooner than that of a killed process.
 func (n *Node) Kill() error {
