dispatcher: suspicions of requests that crash servers expire

Cause: found on reading the whole change: the quarantine's Expire was never called, so a refused request stayed refused until its process restarted, although the page of the package says 10 minutes. Ruled out: the log's list bringing the suspicion back (the test merges it three times). Change: the merge with the state, at every change and at least once a second, also expires; a method without callers was removed, and the count of records that can't be decoded became a gauge. Figures: TestSuspicionExpires failed before and passes now. Conclusion: as described.

--- a/daemon/admin.go
+++ b/daemon/admin.go
@@ -172,6 +172,7 @@
 
 func (d *Daemon) registerGauges() {
 	d.metrics.NewGauge("hibiscus_applied_offset", func() float64 { return float64(d.state.Applied()) })
+	d.metrics.NewGauge("hibiscus_records_skipped", func() float64 { return float64(d.state.Skipped()) })
 	d.metrics.NewGauge("hibiscus_connections", func() float64 { return float64(d.transport.Connections()) })
 	d.metrics.NewGauge(`hibiscus_wire_bytes{path="peers",direction="out"}`, func() float64 { return float64(d.transport.Traffic().BytesSent) })
 	d.metrics.NewGauge(`hibiscus_wire_bytes{path="peers",direction="in"}`, func() float64 { return float64(d.transport.Traffic().BytesReceived) })
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -119,9 +119,6 @@
 // Load describes the backend server as this process sees it.
 func (d *Dispatcher) Load() encoder.Load { return d.gate.load() }
 
-// Lost reports whether the backend server refused connections since it last announced itself.
-func (d *Dispatcher) Lost() bool { return d.backend.lost.Load() }
-
 // Abandon gives the backend server up: calls to it end with an unknown outcome and new requests are refused. Requests that
 // it accepted may still run until their deadlines.
 func (d *Dispatcher) Abandon() {
--- a/dispatcher/suspects.go
+++ b/dispatcher/suspects.go
@@ -94,10 +94,13 @@
 	return s.quarantine.Marks(fingerprint)
 }
 
+// merge brings in the suspects of the state and ends suspicions that are old enough.
 func (s *suspects) merge(counts []applier.SuspectCount) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.quarantine.Merge(timer.Now(), counts)
+	now := timer.Now()
+	s.quarantine.Merge(now, counts)
+	s.quarantine.Expire(now)
 }
 
 // crashed handles a request whose backend server crashed, and returns when the log has the suspicion or the time is over.
--- /dev/null
+++ b/dispatcher/suspects_test.go
@@ -0,0 +1,31 @@
+package dispatcher
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscusline/applier"
+	"hibiscusline/quarantiner"
+)
+
+// TestSuspicionExpires guards against a request that stays refused for ever after its backend servers were mended.
+func TestSuspicionExpires(t *testing.T) {
+	s := newSuspects(1)
+	s.quarantine = quarantiner.New(quarantiner.Config{Member: 1, Expiry: time.Nanosecond})
+	const fingerprint = 7
+	var state applier.State
+	for i := range 2 {
+		record, fresh, _ := s.crash(s.start(fingerprint))
+		require.True(t, fresh)
+		state.Apply(applier.Offset(i+1), applier.Envelope{ID: strconv.Itoa(i), Record: record})
+	}
+	require.Equal(t, quarantiner.Refuse, s.verdict(fingerprint, nil))
+	// The log's list of suspects doesn't expire, and is merged again and again.
+	for range 3 {
+		s.merge(state.Suspects)
+	}
+	require.NotEqual(t, quarantiner.Refuse, s.verdict(fingerprint, nil))
+}
