daemon: an owner serves a range until it has applied the record of its move

The owner was about to move the range when the log went down. It held the range while it transferred the idempotency rows, which needed the acknowledgement of a killed guardian (2 s a try, again every second), and it would have held it without end had the Move record been in doubt. A live owner must serve through a log outage.

Change: Move comes first. The state keeps the old owner as the source of the range. The source serves until it has applied the record, then finishes what it has admitted, transfers the rows and releases the range; the new owner serves from then on and appends Receive when its guardians have the rows. A source that is lost before that counts as a lost owner: the range gets a new epoch, and the successor waits and fetches rows as after any take-over. A merge holds its ranges for 500 ms at most instead of 10 s.

Emulator: a cancelled request of a server that checks grants is recorded as fenced when it has met a newer epoch.

Conclusion: a move stops no request while the log decides.

--- a/applier/apply.go
+++ b/applier/apply.go
@@ -94,6 +94,8 @@
 		return nil
 	case Settle:
 		return s.applySettle(r)
+	case Receive:
+		return s.applyReceive(r)
 	case Checkpoint:
 		s.applyCheckpoint(offset, r)
 		return nil
@@ -167,6 +169,9 @@
 	if owned := len(s.index.list(m.Service, m.ID)); owned > 0 {
 		return errors.Errorf("member %s still owns %d ranges", r.Member, owned)
 	}
+	if unreleased := len(s.Unreleased(m.ID)); unreleased > 0 {
+		return errors.Errorf("member %s has still to release %d ranges", r.Member, unreleased)
+	}
 	s.remove(m, offset, Left)
 	return nil
 }
@@ -219,18 +224,28 @@
 	ranges := s.Assignments[m.Service]
 	for _, low := range slices.Clone(s.index.list(m.Service, m.ID)) {
 		i, _ := findRange(ranges, low)
-		a := &ranges[i]
-		s.setOwner(m.Service, a, 0)
-		a.Epoch, a.Cause = offset, cause
-		a.Lineage = append(slices.Clone(a.Lineage), m.ID)
-		if len(a.Lineage) > maxLineage {
-			a.Lineage, a.Incomplete = a.Lineage[len(a.Lineage)-maxLineage:], true
-		}
+		s.setOwner(m.Service, &ranges[i], 0)
+		ranges[i].inherit(m.ID, offset, cause)
+	}
+	// A new epoch makes the owner wait and fetch the rows as after any other loss, whatever it declared before.
+	for _, a := range s.Unreleased(m.ID) {
+		i, _ := findRange(ranges, a.Range.Low)
+		s.setSource(m.Service, &ranges[i], 0)
+		ranges[i].inherit(m.ID, offset, cause)
 	}
 	s.remove(m, offset, cause)
 	s.placeService(m.Service, offset)
 }
 
+// inherit notes that a lost member may have served the range.
+func (a *Assignment) inherit(lost MemberID, offset Offset, cause Cause) {
+	a.Epoch, a.Cause = offset, cause
+	a.Lineage = append(slices.Clone(a.Lineage), lost)
+	if len(a.Lineage) > maxLineage {
+		a.Lineage, a.Incomplete = a.Lineage[len(a.Lineage)-maxLineage:], true
+	}
+}
+
 func (s *State) applyMove(offset Offset, r Move) error {
 	target, err := s.member(r.To)
 	if err != nil {
@@ -248,8 +263,14 @@
 		return err
 	}
 	ranges := s.Assignments[r.Service]
+	for _, i := range indices {
+		if ranges[i].Source != 0 {
+			return errors.Errorf("range %s has not been received from %s", ranges[i].Range, ranges[i].Source)
+		}
+	}
 	for _, i := range indices {
 		s.setOwner(r.Service, &ranges[i], r.To)
+		s.setSource(r.Service, &ranges[i], r.From)
 		ranges[i].Epoch, ranges[i].Cause = offset, Moved
 		ranges[i].Lineage, ranges[i].Incomplete = nil, false
 	}
@@ -297,6 +318,9 @@
 		a.Range, a.Lineage = part, slices.Clone(whole.Lineage)
 		parts = append(parts, a)
 		s.index.insert(service, a.Owner, part.Low)
+		if a.Source != 0 {
+			s.index.setMoving(service, part.Low, true)
+		}
 	}
 	s.Assignments[service] = slices.Replace(ranges, i, i+1, parts...)
 }
@@ -314,7 +338,7 @@
 	if lower.Owner == 0 || lower.Owner != upper.Owner {
 		return errors.Errorf("ranges %s and %s have owners %s and %s", lower.Range, upper.Range, lower.Owner, upper.Owner)
 	}
-	if len(lower.Lineage) > 0 || len(upper.Lineage) > 0 {
+	if !lower.Settled() || !upper.Settled() {
 		return errors.Errorf("range %s or %s is not settled", lower.Range, upper.Range)
 	}
 	s.index.delete(r.Service, upper.Owner, upper.Range.Low)
@@ -337,6 +361,26 @@
 	return nil
 }
 
+func (s *State) applyReceive(r Receive) error {
+	m, err := s.member(r.Member)
+	if err != nil {
+		return err
+	}
+	received := false
+	for _, a := range s.Unreleased(r.Source) {
+		if a.Owner != m.ID || a.Epoch != r.Epoch {
+			continue
+		}
+		i, _ := findRange(s.Assignments[m.Service], a.Range.Low)
+		s.setSource(m.Service, &s.Assignments[m.Service][i], 0)
+		received = true
+	}
+	if !received {
+		return errors.Errorf("member %s has no range to receive from %s at epoch %d", r.Member, r.Source, r.Epoch)
+	}
+	return nil
+}
+
 func (s *State) applySuspect(offset Offset, r Suspect) {
 	mark := CrashMark{Crash: r.Crash, Alone: len(r.Fingerprints) == 1}
 	if mark.Crash == 0 {
--- a/applier/checkpoint.go
+++ b/applier/checkpoint.go
@@ -99,6 +99,9 @@
 		if m := s.Members[a.Owner]; a.Owner != 0 && (m == nil || m.Service != service) {
 			return errors.Errorf("range %s of service %q belongs to %s, which is not a member of it", a.Range, service, a.Owner)
 		}
+		if m := s.Members[a.Source]; a.Source != 0 && (m == nil || m.Service != service || a.Source == a.Owner) {
+			return errors.Errorf("range %s of service %q can't be released by %s", a.Range, service, a.Source)
+		}
 	}
 	if len(ranges) == 0 || next != 0 {
 		return errors.Errorf("the ranges of service %q do not cover the key space", service)
--- a/applier/fold_test.go
+++ b/applier/fold_test.go
@@ -82,7 +82,7 @@
 	version, guardians := h.guardians(id)
 	switch rapid.SampledFrom([]Kind{
 		KindJoin, KindJoin, KindSetGuardians, KindDrain, KindLeave, KindTakeOver, KindTakeOver, KindMove, KindMove, KindSplit, KindMerge,
-		KindEvict, KindPropose, KindApprove, KindReject, KindSuspect, KindSettle, KindSettle,
+		KindEvict, KindPropose, KindApprove, KindReject, KindSuspect, KindSettle, KindSettle, KindReceive, KindReceive,
 	}).Draw(h.t, "kind") {
 	case KindJoin:
 		zone := rapid.SampledFrom([]string{"z1", "z2"}).Draw(h.t, "zone")
@@ -108,6 +108,10 @@
 		return Merge{Service: service, Lower: lower, Upper: RangeEpoch{Range: upper.Range, Epoch: h.version(upper.Epoch)}}
 	case KindEvict:
 		return Evict{Member: id, Operator: h.operator()}
+	case KindReceive:
+		r, owner := h.rangeOf(service)
+		a, _ := h.state.Lookup(service, r.Range.Low)
+		return Receive{Member: owner, Source: a.Source, Epoch: r.Epoch}
 	}
 	return h.otherRecord(id)
 }
@@ -167,6 +171,10 @@
 				require.Contains(t, s.Members, a.Owner)
 				require.Equal(t, service, s.Members[a.Owner].Service)
 			}
+			if a.Source != 0 {
+				require.Contains(t, s.Members, a.Source)
+				require.NotEqual(t, a.Owner, a.Source)
+			}
 		}
 	}
 }
@@ -181,7 +189,12 @@
 			}
 			was := before[service][i]
 			require.GreaterOrEqual(t, a.Epoch, was.Epoch)
-			if a.Owner != was.Owner {
+			if was.Source != 0 && s.Members[was.Source] == nil {
+				require.Zero(t, a.Source)
+				require.Contains(t, a.Lineage, was.Source, "a lost source may have served the range")
+				require.Equal(t, s.Applied, a.Epoch, "the source was lost")
+			}
+			if a.Owner != was.Owner || was.Source != 0 && s.Members[was.Source] == nil {
 				require.Greater(t, a.Epoch, was.Epoch, "the owner changed")
 				require.Equal(t, s.Applied, a.Epoch)
 			} else if a.Range.High <= was.Range.High {
@@ -199,13 +212,17 @@
 	plain.index = nil
 	for _, service := range []string{"stock", "orders"} {
 		require.Equal(t, plain.MembersOf(service), s.MembersOf(service))
-		var unowned []hasher.Position
+		var unowned, moving []hasher.Position
 		for _, a := range s.Assignments[service] {
+			if a.Source != 0 {
+				moving = append(moving, a.Range.Low)
+			}
 			if a.Owner == 0 {
 				unowned = append(unowned, a.Range.Low)
 			}
 		}
 		require.Equal(t, unowned, s.index.unowned[service])
+		require.Equal(t, moving, s.index.moving[service])
 	}
 	for id, m := range s.Members {
 		require.Equal(t, plain.Owned(id), s.Owned(id))
@@ -240,14 +257,21 @@
 		}
 		return r.Version == m.GuardianVersion
 	case Move:
-		return h.holds(r.Service, r.Ranges[0], r.From)
+		a, _ := h.state.Lookup(r.Service, r.Ranges[0].Range.Low)
+		return a.Source == 0 && h.holds(r.Service, r.Ranges[0], r.From)
+	case Leave:
+		return len(h.state.Unreleased(r.Member)) == 0
+	case Receive:
+		return slices.ContainsFunc(h.state.Unreleased(r.Source), func(a Assignment) bool {
+			return a.Owner == r.Member && a.Epoch == r.Epoch
+		})
 	case Split:
 		a, _ := h.state.Lookup(r.Service, r.Range.Range.Low)
 		return h.holds(r.Service, r.Range, a.Owner)
 	case Merge:
 		lower, _ := h.state.Lookup(r.Service, r.Lower.Range.Low)
 		upper, _ := h.state.Lookup(r.Service, r.Upper.Range.Low)
-		settled := len(lower.Lineage) == 0 && len(upper.Lineage) == 0
+		settled := lower.Settled() && upper.Settled()
 		return settled && lower.Owner != 0 && h.holds(r.Service, r.Lower, lower.Owner) && h.holds(r.Service, r.Upper, lower.Owner)
 	}
 	return true
--- a/applier/index.go
+++ b/applier/index.go
@@ -16,6 +16,8 @@
 	services map[string][]*entry
 	// unowned holds the lowest positions of the ranges without owner of each service, in ascending order.
 	unowned map[string][]hasher.Position
+	// moving holds the lowest positions of the ranges with a source of each service, in ascending order.
+	moving map[string][]hasher.Position
 	// changed is the offset of the last record that changed a member.
 	changed Offset
 }
@@ -27,7 +29,10 @@
 }
 
 func buildIndex(s *State) *index {
-	x := &index{changed: s.Applied, entries: map[MemberID]*entry{}, services: map[string][]*entry{}, unowned: map[string][]hasher.Position{}}
+	x := &index{
+		changed: s.Applied, entries: map[MemberID]*entry{}, services: map[string][]*entry{}, unowned: map[string][]hasher.Position{},
+		moving: map[string][]hasher.Position{},
+	}
 	for _, m := range s.Members {
 		e := &entry{member: m}
 		x.entries[m.ID] = e
@@ -43,6 +48,9 @@
 			} else {
 				x.unowned[service] = append(x.unowned[service], a.Range.Low)
 			}
+			if a.Source != 0 {
+				x.moving[service] = append(x.moving[service], a.Range.Low)
+			}
 		}
 	}
 	return x
@@ -100,6 +108,19 @@
 	}
 }
 
+func (x *index) setMoving(service string, low hasher.Position, moving bool) {
+	list := x.moving[service]
+	i, found := slices.BinarySearch(list, low)
+	switch {
+	case moving && !found:
+		x.moving[service] = slices.Insert(list, i, low)
+	case !moving && found && len(list) == 1:
+		delete(x.moving, service)
+	case !moving && found:
+		x.moving[service] = slices.Delete(list, i, i+1)
+	}
+}
+
 // MembersChanged returns an offset since which no record has changed a member, its status or its guardians. Readers that
 // look at every member need not do so again while it stays.
 func (s *State) MembersChanged() Offset {
@@ -115,3 +136,9 @@
 	a.Owner = owner
 	s.index.insert(service, owner, a.Range.Low)
 }
+
+// setSource changes the source of a range.
+func (s *State) setSource(service string, a *Assignment, source MemberID) {
+	a.Source = source
+	s.index.setMoving(service, a.Range.Low, source != 0)
+}
--- a/applier/names.go
+++ b/applier/names.go
@@ -65,11 +65,12 @@
 	_ = x[KindSettle-13]
 	_ = x[KindCheckpoint-14]
 	_ = x[KindMerge-15]
+	_ = x[KindReceive-16]
 }
 
-const _Kind_name = "joinset_guardiansdrainleavetake_overmovesplitevictproposeapproverejectsuspectsettlecheckpointmerge"
+const _Kind_name = "joinset_guardiansdrainleavetake_overmovesplitevictproposeapproverejectsuspectsettlecheckpointmergereceive"
 
-var _Kind_index = [...]uint8{0, 4, 17, 22, 27, 36, 40, 45, 50, 57, 64, 70, 77, 83, 93, 98}
+var _Kind_index = [...]uint8{0, 4, 17, 22, 27, 36, 40, 45, 50, 57, 64, 70, 77, 83, 93, 98, 105}
 
 func (i Kind) String() string {
 	idx := int(i) - 1
--- a/applier/placement.go
+++ b/applier/placement.go
@@ -42,6 +42,10 @@
 		i, _ := findRange(s.Assignments[service], low)
 		a := &s.Assignments[service][i]
 		s.setOwner(service, a, fewest[best].member.ID)
+		if a.Source == a.Owner {
+			// The source of a move that was cut short owns the range again.
+			s.setSource(service, a, 0)
+		}
 		a.Epoch = offset
 		if a.Cause == Unowned {
 			a.Cause = Placed
@@ -125,6 +129,7 @@
 func (s *State) dropService(service string) {
 	delete(s.Assignments, service)
 	delete(s.index.unowned, service)
+	delete(s.index.moving, service)
 	for _, e := range s.index.services[service] {
 		e.owned = nil
 	}
--- a/applier/record.go
+++ b/applier/record.go
@@ -28,6 +28,7 @@
 	KindSettle                       // settle
 	KindCheckpoint                   // checkpoint
 	KindMerge                        // merge
+	KindReceive                      // receive
 )
 
 // MarshalText writes the kind's name.
@@ -53,7 +54,7 @@
 	Member MemberID `cbor:"1,keyasint"`
 }
 
-// Leave removes a member that owns no range.
+// Leave removes a member that owns no range and has released all that it owned.
 type Leave struct {
 	Member MemberID `cbor:"1,keyasint"`
 }
@@ -71,7 +72,8 @@
 	Epoch Offset       `cbor:"2,keyasint" json:"epoch"`
 }
 
-// Move gives ranges of one owner to another. All ranges move or none.
+// Move gives ranges of one owner to another. All ranges move or none. From stays the source of the ranges until To has
+// received them.
 type Move struct {
 	Service string       `cbor:"1,keyasint"`
 	From    MemberID     `cbor:"2,keyasint"`
@@ -140,6 +142,14 @@
 	AsOf   Offset   `cbor:"2,keyasint"`
 }
 
+// Receive declares that the owner of moved ranges, and its guardians, hold the idempotency rows that the source had when it
+// released them. It covers the ranges that have this source and epoch.
+type Receive struct {
+	Member MemberID `cbor:"1,keyasint"`
+	Source MemberID `cbor:"2,keyasint"`
+	Epoch  Offset   `cbor:"3,keyasint"`
+}
+
 // Checkpoint is one piece of an encoded state. AsOf is the last offset applied in that state.
 type Checkpoint struct {
 	ID    string `cbor:"1,keyasint"`
@@ -164,6 +174,7 @@
 func (Settle) kind() Kind       { return KindSettle }
 func (Checkpoint) kind() Kind   { return KindCheckpoint }
 func (Merge) kind() Kind        { return KindMerge }
+func (Receive) kind() Kind      { return KindReceive }
 
 // KindOf returns the kind of a record.
 func KindOf(r Record) Kind { return r.kind() }
@@ -258,6 +269,8 @@
 		return decodeAs[Checkpoint](body)
 	case KindMerge:
 		return decodeAs[Merge](body)
+	case KindReceive:
+		return decodeAs[Receive](body)
 	}
 	return nil, errors.Errorf("unknown record kind %d", uint8(kind))
 }
--- a/applier/state.go
+++ b/applier/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 
 	"hibiscusline/hasher"
@@ -32,8 +33,14 @@
 	Lineage []MemberID `cbor:"5,keyasint,omitempty" json:"lineage,omitempty"`
 	// Incomplete means that the lineage was longer than it is kept, so rows may be missing.
 	Incomplete bool `cbor:"6,keyasint,omitempty" json:"incomplete,omitempty"`
+	// Source is the previous owner in a planned move, until the owner has received the range from it. The source may serve
+	// until it applies the move; the owner must not serve before the source has released the range.
+	Source MemberID `cbor:"7,keyasint,omitempty" json:"source,omitempty"`
 }
 
+// Settled reports whether the owner holds all idempotency rows of the range, so that it may move or be merged.
+func (a Assignment) Settled() bool { return len(a.Lineage) == 0 && a.Source == 0 }
+
 // ProposalStatus is the state of a proposed configuration.
 type ProposalStatus uint8
 
@@ -127,6 +134,19 @@
 	return s.Assignments[service][i], true
 }
 
+// Overlapping returns the assignments that have positions of a range, in ascending order of range.
+func (s *State) Overlapping(service string, r hasher.Range) iter.Seq[Assignment] {
+	return func(yield func(Assignment) bool) {
+		ranges := s.Assignments[service]
+		first, _ := findRange(ranges, r.Low)
+		for _, a := range ranges[first:] {
+			if a.Range.Low > r.High || !yield(a) {
+				return
+			}
+		}
+	}
+}
+
 func findRange(ranges []Assignment, p hasher.Position) (int, bool) {
 	i, _ := slices.BinarySearchFunc(ranges, p, func(a Assignment, p hasher.Position) int {
 		return cmp.Compare(a.Range.High, p)
@@ -156,6 +176,22 @@
 	return owned
 }
 
+// Unreleased returns the ranges that a member has still to release to their owners, and those that have no owner, in ascending
+// order of range.
+func (s *State) Unreleased(source MemberID) []Assignment {
+	member, present := s.Members[source]
+	if !present || s.index == nil {
+		return nil
+	}
+	var unreleased []Assignment
+	for _, low := range s.index.moving[member.Service] {
+		if a, _ := s.Lookup(member.Service, low); a.Source == source {
+			unreleased = append(unreleased, a)
+		}
+	}
+	return unreleased
+}
+
 // MembersOf returns the members of a service, or all members for an empty service, in ascending order of id.
 func (s *State) MembersOf(service string) []*Member {
 	var members []*Member
--- a/applier/state_test.go
+++ b/applier/state_test.go
@@ -36,6 +36,7 @@
 		Reject{Operator: "ben", Proposal: 4, Comment: "no"},
 		Suspect{Member: 1, Fingerprints: []uint64{5}, Cleared: []uint64{6}, Crash: 7},
 		Settle{Member: 1, AsOf: 8},
+		Receive{Member: 1, Source: 2, Epoch: 9},
 		Checkpoint{ID: "c", AsOf: 1, Index: 0, Total: 1, Piece: []byte{1}},
 	}
 }
--- a/daemon/balance.go
+++ b/daemon/balance.go
@@ -115,7 +115,7 @@
 // merge joins two ranges of this member. No request of them runs meanwhile: a backend server may reject one that started
 // with the lower of the two epochs.
 func (d *Daemon) merge(ctx context.Context, n *incarnation, m applier.Merge) error {
-	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
+	ctx, cancel := context.WithTimeout(ctx, mergeTimeout)
 	defer cancel()
 	resume, err := n.dispatcher.Hold(ctx, []hasher.Range{m.Lower.Range, m.Upper.Range})
 	if err != nil {
--- a/daemon/member.go
+++ b/daemon/member.go
@@ -46,6 +46,10 @@
 	// nextSync is the time before which the guardians are not told all rows again.
 	nextSync atomic.Int64
 	fetching atomic.Bool
+	// releases holds the moves whose ranges this member is releasing or has released, and released those whose ranges it has
+	// been given by their source. Both have keys of type moved.
+	releases sync.Map
+	released sync.Map
 }
 
 // ValidUntil returns the end of the lease by the clock of package timer.
@@ -80,6 +84,10 @@
 		},
 		Connections: a.Connections, Metrics: d.metrics, Report: d.reportSuspects,
 		Fetched: func(epoch applier.Offset) bool { _, done := n.fetched.Load(epoch); return done },
+		Released: func(source applier.MemberID, epoch applier.Offset) bool {
+			_, done := n.released.Load(moved{source: source, owner: n.id, epoch: epoch})
+			return done
+		},
 	})
 	n.dispatcher.Observe(n.ranges.observe)
 	n.dispatcher.SetBackend(a.Address, a.Slots)
@@ -269,6 +277,7 @@
 	d.notifyNeighbours(n)
 	d.synchronizeRows(n)
 	d.fetchLostRows(n)
+	d.releaseMoved(n)
 	return current
 }
 
--- a/daemon/move.go
+++ b/daemon/move.go
@@ -9,18 +9,16 @@
 
 	"hibiscusline/applier"
 	"hibiscusline/balancer"
-	"hibiscusline/deduper"
-	"hibiscusline/encoder"
 	"hibiscusline/hasher"
 	"hibiscusline/leaser"
 	"hibiscusline/timer"
 )
 
 const (
-	// moveTimeout bounds one attempt to move ranges. Requests for them wait at their entries meanwhile.
+	// moveTimeout bounds one attempt to move ranges. They are served meanwhile, except while they are released.
 	moveTimeout = 10 * time.Second
-	// transferTimeout bounds one message of a transfer, which the target's guardians acknowledge too.
-	transferTimeout = 2 * time.Second
+	// mergeTimeout bounds the time that two ranges are held for their merge. It is short, since a log outage lasts.
+	mergeTimeout = 500 * time.Millisecond
 	// leavePause is the time between the notice that this process drains and the close of its listener, in which
 	// callers finish with their open connections.
 	leavePause = 500 * time.Millisecond
@@ -31,10 +29,31 @@
 	finishTimeout = time.Minute
 )
 
-// move gives ranges of this member to another one. No request of the ranges runs while they change hands.
+// move gives ranges of this member to another one. This process serves them until it has applied the record, so that a log
+// that is slow or down stops no request. It returns when the ranges are released.
 func (d *Daemon) move(ctx context.Context, n *incarnation, to applier.MemberID, ranges []applier.RangeEpoch) error {
 	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
 	defer cancel()
+	target, err := d.checkMove(n, to, ranges)
+	if err != nil {
+		return err
+	}
+	if err := d.offer(ctx, n, target); err != nil {
+		return err
+	}
+	result, err := d.commit(ctx, applier.Move{Service: n.server.Service, From: n.id, To: to, Ranges: ranges})
+	if err != nil {
+		return err
+	}
+	if !result.Accepted {
+		return errors.Errorf("move was rejected: %s", result.Reason)
+	}
+	d.metrics.GetOrCreateCounter("hibiscus_ranges_moved_total").Add(len(ranges))
+	return d.awaitReleased(ctx, n)
+}
+
+// checkMove returns the member that is to get the ranges, or says why they can't move now.
+func (d *Daemon) checkMove(n *incarnation, to applier.MemberID, ranges []applier.RangeEpoch) (applier.Member, error) {
 	var target applier.Member
 	present := false
 	pending := false
@@ -43,7 +62,7 @@
 			target, present = *m, true
 		}
 		for _, a := range s.Owned(n.id) {
-			if _, fetched := n.fetched.Load(a.Epoch); len(a.Lineage) > 0 && !fetched {
+			if _, fetched := n.fetched.Load(a.Epoch); a.Source != 0 || len(a.Lineage) > 0 && !fetched {
 				pending = pending || containsRange(ranges, a.Range)
 			}
 			if n.dispatcher.WithheldUntil(a.Epoch) > timer.Now() {
@@ -52,110 +71,21 @@
 			}
 		}
 	})
-	if !present {
-		return errors.Errorf("member %s is not present", to)
-	}
-	if target.Service != n.server.Service {
-		return errors.Errorf("member %s serves %s, not %s", to, target.Service, n.server.Service)
-	}
-	if pending {
-		return errors.New("a range was taken over a moment ago and is not settled yet")
-	}
-	plain := make([]hasher.Range, len(ranges))
-	for i, r := range ranges {
-		plain[i] = r.Range
-	}
-	resume, err := n.dispatcher.Hold(ctx, plain)
-	if err != nil {
-		return errors.Wrap(err, "wait for running requests")
-	}
-	defer resume()
-	if err := d.transfer(ctx, n, target, ranges); err != nil {
-		return err
-	}
-	// The record may take effect long after its append got no answer. Until this process knows what became of it, the
-	// ranges are not served here; a bound on this wait would let the next owner serve them at the same time.
-	decided, cancelDecided := d.background()
-	defer cancelDecided()
-	result, err := d.commit(decided, applier.Move{Service: n.server.Service, From: n.id, To: to, Ranges: ranges})
-	if err != nil {
-		return err
-	}
-	if !result.Accepted {
-		return errors.Errorf("move was rejected: %s", result.Reason)
+	switch {
+	case !present:
+		return target, errors.Errorf("member %s is not present", to)
+	case target.Service != n.server.Service:
+		return target, errors.Errorf("member %s serves %s, not %s", to, target.Service, n.server.Service)
+	case pending:
+		return target, errors.New("a range changed its owner a moment ago and is not settled yet")
 	}
-	d.metrics.GetOrCreateCounter("hibiscus_ranges_moved_total").Add(len(ranges))
-	n.dispatcher.Rows(func(t *deduper.Table) {
-		for _, r := range plain {
-			t.Drop(n.server.Service, r)
-		}
-	})
-	return nil
+	return target, nil
 }
 
 func containsRange(ranges []applier.RangeEpoch, r hasher.Range) bool {
 	return slices.ContainsFunc(ranges, func(e applier.RangeEpoch) bool { return e.Range == r })
 }
 
-// transfer hands the idempotency rows of ranges to their next owner.
-func (d *Daemon) transfer(ctx context.Context, n *incarnation, target applier.Member, ranges []applier.RangeEpoch) error {
-	m := encoder.Transfer{From: n.id, Service: n.server.Service, Ranges: ranges}
-	n.dispatcher.Rows(func(t *deduper.Table) {
-		for _, r := range ranges {
-			m.Rows = append(m.Rows, t.Export(timer.Now(), n.server.Service, r.Range)...)
-			m.Blocks = append(m.Blocks, t.Blocks(timer.Now(), n.server.Service, r.Range)...)
-		}
-	})
-	for {
-		part := m
-		part.Rows = m.Rows[:min(rowsBatch, len(m.Rows))]
-		m.Rows = m.Rows[len(part.Rows):]
-		// A frozen target must not hold the ranges up for long.
-		askCtx, cancel := context.WithTimeout(ctx, transferTimeout)
-		ack, err := ask[encoder.Ack](askCtx, d, target.Address, part)
-		cancel()
-		if err != nil {
-			return errors.Wrap(err, "transfer idempotency rows")
-		}
-		if ack.Refused != "" {
-			return errors.Errorf("transfer was refused: %s", ack.Refused)
-		}
-		if len(m.Rows) == 0 {
-			return nil
-		}
-	}
-}
-
-// acceptTransfer keeps rows of ranges that this member is about to own, here and at its guardians.
-func (d *Daemon) acceptTransfer(ctx context.Context, m encoder.Transfer) encoder.Message {
-	n := d.incarnation()
-	if n == nil || n.server.Service != m.Service || n.leaving.Load() {
-		return encoder.Ack{Refused: "this process doesn't take ranges now"}
-	}
-	if timer.Now() >= n.ValidUntil() {
-		return encoder.Ack{Refused: "this process has no lease"}
-	}
-	var rows []deduper.Row
-	n.dispatcher.Rows(func(t *deduper.Table) {
-		t.Import(timer.Now(), m.Rows)
-		for _, b := range m.Blocks {
-			t.Block(timer.Now(), b)
-		}
-		for _, r := range m.Ranges {
-			rows = append(rows, t.Export(timer.Now(), m.Service, r.Range)...)
-		}
-	})
-	guardians, _ := d.guardiansOf(n.id)
-	message := encoder.RecordRows{Owner: n.id, Rows: rows}
-	if len(m.Blocks) > 0 {
-		message.Complete = encoder.Incomplete
-	}
-	if err := d.recordAt(ctx, guardians, message); err != nil {
-		return encoder.Ack{Refused: "guardians did not keep the rows: " + err.Error()}
-	}
-	return encoder.Ack{}
-}
-
 // resign ends an incarnation whose backend server is leaving: its ranges move to other members and it leaves. A later
 // announcement makes the process a new member.
 func (d *Daemon) resign(n *incarnation, why string) {
@@ -216,6 +146,9 @@
 	if err := n.dispatcher.Close(ctx); err != nil {
 		return errors.Wrap(err, "wait for running requests")
 	}
+	if err := d.awaitReleased(ctx, n); err != nil {
+		return errors.Wrap(err, "wait for the release of moved ranges")
+	}
 	d.awaitReplacement(ctx, n)
 	d.perform(n, n.step(leaser.Leaving{}))
 	result, err := d.commit(ctx, applier.Leave{Member: n.id})
--- a/daemon/streams.go
+++ b/daemon/streams.go
@@ -106,6 +106,8 @@
 		return d.recordRows(m)
 	case encoder.RowsQuery:
 		return d.queryRows(m)
+	case encoder.Offer:
+		return d.considerOffer(m)
 	case encoder.Transfer:
 		return d.acceptTransfer(ctx, m)
 	}
--- a/deduper/doc.go
+++ b/deduper/doc.go
@@ -9,9 +9,10 @@
 // answers and reports its rows as complete. In every other case the new owner must call Block, which refuses requests of
 // the range that it doesn't know until the window has passed.
 //
-// An owner dispatches, settles (applier.Settle) or accepts a planned move only when at least one guardian of its last
-// record has acknowledged all its rows. Before a planned move is appended, the new owner has therefore imported the rows
-// and blocks of the range, sent the rows to its guardians and, if there are blocks, declared its guardians incomplete.
+// An owner dispatches or settles (applier.Settle) only when at least one guardian of its last record has acknowledged all its
+// rows. In a planned move, the former owner keeps the rows until the new one has appended applier.Receive: by then the new
+// owner has imported the rows and blocks, sent the rows to its guardians and, if there are blocks, declared its guardians
+// incomplete.
 //
 // Table and Store are not safe for concurrent use.
 package deduper
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -43,6 +43,8 @@
 	Connections int
 	// Fetched reports whether the idempotency rows of a range taken over at an epoch are here.
 	Fetched func(epoch applier.Offset) bool
+	// Released reports whether the source of a planned move has released the ranges with an epoch.
+	Released func(source applier.MemberID, epoch applier.Offset) bool
 	// Report brings a crash, or suspects that completed, to the log and returns when it is there.
 	Report  func(ctx context.Context, record applier.Suspect)
 	Metrics *metrics.Set
@@ -256,11 +258,7 @@
 	defer context.AfterFunc(d.abandoned, cancel)()
 	// The lease may have lapsed and the range may have moved while the request waited.
 	if j.head.Keyed {
-		a, reason := d.check(j.head.Service, j.head.At)
-		if reason == encoder.NoReason && a.Epoch != j.grant.assignment.Epoch {
-			reason = encoder.NotOwner
-		}
-		if reason != encoder.NoReason {
+		if reason := d.recheck(j); reason != encoder.NoReason {
 			release(false)
 			settle(ending{})
 			return d.refuse(j, reason)
--- a/dispatcher/ownership.go
+++ b/dispatcher/ownership.go
@@ -21,7 +21,7 @@
 // ownership checks that a key is owned here and tracks the requests that run on it, so that a move can wait for them.
 type ownership struct {
 	mu       sync.Mutex
-	moving   []hasher.Range
+	held     []hasher.Range
 	inFlight map[uint64]hasher.Position
 	next     uint64
 	idle     chan struct{}
@@ -36,23 +36,35 @@
 }
 
 // enter checks that this process owns a position now. The grant must be released when the request has ended.
+//
+// The request counts as in flight before the check: a range that the state gives to another member is released when nothing
+// is in flight, and a request that was checked before that change must hold the release up.
 func (d *Dispatcher) enter(service string, p hasher.Position) (grant, encoder.Reason) {
+	o := &d.ownership
+	id, reason := o.start(p)
+	if reason != encoder.NoReason {
+		return grant{}, reason
+	}
 	assignment, reason := d.check(service, p)
 	if reason != encoder.NoReason {
+		o.leave(id)
 		return grant{}, reason
 	}
-	o := &d.ownership
+	return grant{assignment: assignment, release: func() { o.leave(id) }}, encoder.NoReason
+}
+
+// start counts a request as in flight, unless its range is held.
+func (o *ownership) start(p hasher.Position) (uint64, encoder.Reason) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for _, r := range o.moving {
+	for _, r := range o.held {
 		if r.Contains(p) {
-			return grant{}, encoder.Moving
+			return 0, encoder.Moving
 		}
 	}
 	o.next++
-	id := o.next
-	o.inFlight[id] = p
-	return grant{assignment: assignment, release: func() { o.leave(id) }}, encoder.NoReason
+	o.inFlight[o.next] = p
+	return o.next, encoder.NoReason
 }
 
 func (o *ownership) leave(id uint64) {
@@ -80,12 +92,28 @@
 	if timer.Now() >= d.config.Lease.ValidUntil() {
 		return a, encoder.NoLease
 	}
+	if a.Source != 0 && !d.config.Released(a.Source, a.Epoch) {
+		return a, encoder.Moving
+	}
 	if wait > 0 && d.ownership.isWithheld(a.Epoch, wait) {
 		return a, encoder.Moving
 	}
 	return a, encoder.NoReason
 }
 
+// recheck checks a request again that has waited since it was admitted. It may still run on a range that has moved
+// meanwhile: the range is released only when the request has ended.
+func (d *Dispatcher) recheck(j *job) encoder.Reason {
+	a, reason := d.check(j.head.Service, j.head.At)
+	if reason == encoder.NotOwner && a.Source == d.config.Self() && timer.Now() < d.config.Lease.ValidUntil() {
+		return encoder.NoReason
+	}
+	if reason == encoder.NoReason && a.Epoch != j.grant.assignment.Epoch {
+		return encoder.NotOwner
+	}
+	return reason
+}
+
 // takeOverWait returns how long a successor must wait before it serves a range, since the lost owner's backend server
 // doesn't check grants and may still be running a request.
 func takeOverWait(s *applier.State, service string, a applier.Assignment) time.Duration {
@@ -138,9 +166,19 @@
 func (d *Dispatcher) Hold(ctx context.Context, ranges []hasher.Range) (func(), error) {
 	o := &d.ownership
 	o.mu.Lock()
-	o.moving = append(o.moving, ranges...)
+	o.held = append(o.held, ranges...)
 	o.mu.Unlock()
 	resume := func() { o.resume(ranges) }
+	if err := d.Finish(ctx, ranges); err != nil {
+		resume()
+		return nil, err
+	}
+	return resume, nil
+}
+
+// Finish waits until no request of the ranges runs. Ranges that this process still owns get new requests meanwhile.
+func (d *Dispatcher) Finish(ctx context.Context, ranges []hasher.Range) error {
+	o := &d.ownership
 	for {
 		o.mu.Lock()
 		busy := o.runningIn(ranges)
@@ -150,13 +188,12 @@
 		idle := o.idle
 		o.mu.Unlock()
 		if !busy {
-			return resume, nil
+			return nil
 		}
 		select {
 		case <-idle:
 		case <-ctx.Done():
-			resume()
-			return nil, ctx.Err()
+			return ctx.Err()
 		}
 	}
 }
@@ -176,9 +213,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, r := range ranges {
-		for i, m := range o.moving {
+		for i, m := range o.held {
 			if m == r {
-				o.moving = append(o.moving[:i], o.moving[i+1:]...)
+				o.held = append(o.held[:i], o.held[i+1:]...)
 				break
 			}
 		}
--- a/emulator/execute.go
+++ b/emulator/execute.go
@@ -210,10 +210,11 @@
 	}
 	s.waitForThaw(t.life)
 	switch {
-	case ctx.Err() != nil:
-		return Cancelled
 	case s.stale(t):
+		// Also a cancelled request has met the newer epoch, and had no effect.
 		return Fenced
+	case ctx.Err() != nil:
+		return Cancelled
 	case s.fails():
 		return Failed
 	}
--- a/encoder/frame.go
+++ b/encoder/frame.go
@@ -30,6 +30,7 @@
 	kindTransfer
 	kindAck
 	kindStateQuery
+	kindOffer
 )
 
 // Write writes a message as one frame.
@@ -100,6 +101,8 @@
 		return decodeAs[RowsQuery](body)
 	case kindRows:
 		return decodeAs[Rows](body)
+	case kindOffer:
+		return decodeAs[Offer](body)
 	case kindTransfer:
 		return decodeAs[Transfer](body)
 	case kindAck:
--- a/encoder/fuzz_test.go
+++ b/encoder/fuzz_test.go
@@ -8,7 +8,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"hibiscusline/applier"
 	"hibiscusline/deduper"
 	"hibiscusline/hasher"
 )
@@ -24,7 +23,8 @@
 		RecordRows{Owner: 1, Rows: []deduper.Row{{}}, Complete: Complete},
 		RowsQuery{Owner: 1, Range: hasher.Full()},
 		Rows{Complete: true},
-		Transfer{From: 1, Ranges: []applier.RangeEpoch{{Epoch: 1}}},
+		Offer{Service: "stock"},
+		Transfer{From: 1, Ranges: []hasher.Range{{High: 1}}, Epoch: 1},
 		Ack{Refused: "no"},
 		StateQuery{},
 	} {
--- a/encoder/message.go
+++ b/encoder/message.go
@@ -173,13 +173,21 @@
 	Complete bool          `cbor:"2,keyasint,omitempty"`
 }
 
-// Transfer hands the idempotency rows of ranges to the member that is to own them. The answer is an Ack.
+// Offer asks a member whether it can take ranges of a service. The answer is an Ack.
+type Offer struct {
+	Service string `cbor:"1,keyasint"`
+}
+
+// Transfer hands the idempotency rows of moved ranges to their owner. Epoch is the one that the move gave to the ranges. The
+// last message releases the ranges: the source will not serve them again at a lower epoch. The answer is an Ack.
 type Transfer struct {
-	From    applier.MemberID     `cbor:"1,keyasint"`
-	Service string               `cbor:"2,keyasint"`
-	Ranges  []applier.RangeEpoch `cbor:"3,keyasint"`
-	Rows    []deduper.Row        `cbor:"4,keyasint,omitempty"`
-	Blocks  []deduper.Block      `cbor:"5,keyasint,omitempty"`
+	From    applier.MemberID `cbor:"1,keyasint"`
+	Service string           `cbor:"2,keyasint"`
+	Ranges  []hasher.Range   `cbor:"3,keyasint"`
+	Rows    []deduper.Row    `cbor:"4,keyasint,omitempty"`
+	Blocks  []deduper.Block  `cbor:"5,keyasint,omitempty"`
+	Epoch   applier.Offset   `cbor:"6,keyasint"`
+	Last    bool             `cbor:"7,keyasint,omitempty"`
 }
 
 // Ack confirms a message, or refuses it with a reason.
@@ -195,6 +203,7 @@
 func (RecordRows) kind() kind { return kindRecordRows }
 func (RowsQuery) kind() kind  { return kindRowsQuery }
 func (Rows) kind() kind       { return kindRows }
+func (Offer) kind() kind      { return kindOffer }
 func (Transfer) kind() kind   { return kindTransfer }
 func (Ack) kind() kind        { return kindAck }
 func (StateQuery) kind() kind { return kindStateQuery }
--- a/experimenter/capacity.go
+++ b/experimenter/capacity.go
@@ -24,8 +24,8 @@
 	targetRestarts  = 1200
 	targetHotKeys   = 530
 	rangesPerMember = 16
-	// hotKeyRecords are the records of one hot key: Split, Move to another owner, Move back, and two Merge.
-	hotKeyRecords = 5
+	// hotKeyRecords are the records of one hot key: Split, Move and Receive to another owner and back, and two Merge.
+	hotKeyRecords = 7
 	// hotPeriod is how long the hottest keys stay the same.
 	hotPeriod = 5 * time.Minute
 	// rackMembers is the size of a rack.
@@ -91,8 +91,9 @@
 
 func (c *Capacity) records() {
 	// A member that leaves and joins again: removal or Leave, new guardians for the two members that it guarded, Join,
-	// two SetGuardians, and one record for each range on its way out (Move, or Settle of a new owner) and back in (Move).
-	c.PerMember = 1 + 2 + 1 + 2 + 2*rangesPerMember
+	// two SetGuardians, and two records for each range on its way out (Move and Receive, or one Settle of a new owner) and
+	// back in (Move and Receive).
+	c.PerMember = 1 + 2 + 1 + 2 + 4*rangesPerMember
 	c.ChangeRecords = 2 * targetChanges
 	c.FailureRecords = targetFailures * c.PerMember
 	c.RestartRecords = targetRestarts * c.PerMember
