--- a/balancer/planner_test.go
+++ b/balancer/planner_test.go
@@ -107,6 +107,7 @@
 			case MoveRanges:
 				c.moved += len(proposal.Move.Ranges)
 				c.apply(proposal.Move)
+				c.apply(applier.Receive{Member: proposal.Move.To, Source: proposal.Move.From, Epoch: c.state.Applied})
 			case SplitRange:
 				c.splits++
 				c.apply(proposal.Split)
