encoder, daemon: a request without body needs no task and no large buffer

Cause: a CPU profile of the entry in `experiment overhead` showed 7% in the copy of request bodies that were empty: a goroutine and a 32 KiB buffer for each request, and the garbage collection that follows; 5% more went to the growing buffer in which frames are read.

Ruled out: the token of nested calls (3%), which must stay hard to guess; the flush of small answers, which costs no additional write.

Change: the stream of a request without body is closed with its head. A frame of up to 64 KiB is read into a buffer of its length; a longer one still grows as its bytes arrive, since the length comes from the peer.

--- a/daemon/streams.go
+++ b/daemon/streams.go
@@ -214,7 +214,12 @@
 		stop()
 		return encoder.Response{Outcome: encoder.Unknown, Reason: encoder.PeerUnreachable}, nil
 	}
-	go sendBody(stream, body)
+	if head.Length == 0 {
+		// The owner has answered already when closing fails.
+		_ = stream.Close()
+	} else {
+		go sendBody(stream, body)
+	}
 	response, err := encoder.ReadAs[encoder.Response](stream)
 	if err != nil {
 		stop()
--- a/encoder/frame.go
+++ b/encoder/frame.go
@@ -59,16 +59,39 @@
 	if length > MaxFrame {
 		return nil, errors.Errorf("frame of %d bytes is larger than %d", length, MaxFrame)
 	}
-	body, err := io.ReadAll(io.LimitReader(r, int64(length)))
+	body, err := readBody(r, int(length))
 	if err != nil {
 		return nil, err
 	}
-	if len(body) < int(length) {
-		return nil, io.ErrUnexpectedEOF
-	}
 	return decode(kind(header[0]), body)
 }
 
+// trustedLength is the length up to which a buffer is allocated before the bytes have arrived.
+const trustedLength = 64 << 10
+
+func readBody(r io.Reader, length int) ([]byte, error) {
+	if length <= trustedLength {
+		body := make([]byte, length)
+		if _, err := io.ReadFull(r, body); err != nil {
+			return nil, unexpected(err)
+		}
+		return body, nil
+	}
+	body, err := io.ReadAll(io.LimitReader(r, int64(length)))
+	if err == nil && len(body) < length {
+		err = io.ErrUnexpectedEOF
+	}
+	return body, err
+}
+
+// unexpected turns the end of a stream at the start of a frame's body into that of a truncated frame.
+func unexpected(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
 // ReadAs reads one frame that must hold a message of type M.
 func ReadAs[M Message](r io.Reader) (M, error) {
 	var none M
