leaser: an owner that hears none of its guardians is taken over

An owner that was cut off in one direction still sent its renewals, and heard no promise. It stopped serving, but its guardians went on promising, so nobody took its ranges over until the cut ended.

A renewal now says when its sender has had no answer from this guardian for more than two renewals. The guardian refuses such a renewal and says so, and the owner that hears the refusal renews at once without the mark. A guardian therefore keeps no state for this, and one that was paused answers as before. The encoded forms of all other messages are unchanged.

Rejected: an owner that stops renewing when it hears nothing, since a guardian that was frozen in an outage of the log would then attest after its return.

--- a/launcher/owner_test.go
+++ b/launcher/owner_test.go
@@ -59,6 +59,9 @@
 		"cut one way": {
 			func(_ *trial, n *Node) { n.CutPeers(false, true) }, func(_ *trial, n *Node) { n.CutPeers(false, false) },
 		},
+		"cut the other way": {
+			func(_ *trial, n *Node) { n.CutPeers(true, false) }, func(_ *trial, n *Node) { n.CutPeers(false, false) },
+		},
 		"with its guardian": {
 			func(w *trial, n *Node) {
 				g := w.guardians(n)[0]
--- a/leaser/guardian.go
+++ b/leaser/guardian.go
@@ -64,6 +64,8 @@
 		refusal.Reason = Lapsed
 	case g.attested >= r.Version:
 		refusal.Reason = Attested
+	case r.Unheard:
+		refusal.Reason = Unheard
 	default:
 		g.until = max(g.until, m.now+m.longTerm())
 		return Promise{Sequence: r.Sequence}
--- a/leaser/machine.go
+++ b/leaser/machine.go
@@ -169,6 +169,9 @@
 	for id := range m.answered {
 		m.answered[id] = m.now
 	}
+	for id := range m.heard {
+		m.heard[id] = m.now
+	}
 }
 
 func (m *Machine) receive(from applier.MemberID, message Message) []Action {
--- a/leaser/machine_test.go
+++ b/leaser/machine_test.go
@@ -22,8 +22,10 @@
 func TestMessagesKeepTheirForm(t *testing.T) {
 	messages := []Message{
 		Renew{Version: 70000, Sequence: 70000},
+		Renew{Version: 70000, Sequence: 70000, Unheard: true},
 		Promise{Sequence: 70000},
 		Refusal{Version: 70000, Sequence: 70000, Reason: Lapsed},
+		Refusal{Version: 70000, Sequence: 70000, Reason: Unheard},
 		AttestRequest{Member: 0xfedcba9876543210, Version: 70000},
 		Attestation{Member: 0xfedcba9876543210, Version: 70000},
 		ReplaceRequest{},
@@ -67,13 +69,17 @@
 func (s *simulation) injectFault(t *rapid.T) {
 	p := s.processes[rapid.IntRange(0, len(s.processes)-1).Draw(t, "process")]
 	until := s.now + time.Duration(rapid.IntRange(1, 3000).Draw(t, "duration"))*time.Millisecond
-	switch rapid.SampledFrom([]string{"pause", "lag", "cut", "kill", "evict", "log", "stop", "all"}).Draw(t, "fault") {
+	switch rapid.SampledFrom([]string{"pause", "lag", "cut", "deaf", "mute", "kill", "evict", "log", "stop", "all"}).Draw(t, "fault") {
 	case "pause":
 		p.pausedUntil = until
 	case "lag":
 		p.lagUntil = until + 3*time.Second
 	case "cut":
 		p.cutUntil = until
+	case "deaf":
+		p.deafUntil = until
+	case "mute":
+		p.muteUntil = until
 	case "kill":
 		p.alive, p.restartAt = false, until
 	case "evict":
@@ -131,6 +137,41 @@
 	}
 }
 
+// TestTakeOverOfOwnerCutOneWay guards against ranges that are not served while their owner is cut off in one direction. An
+// owner that still sent its renewals, and heard no answer, was not taken over before the cut ended.
+func TestTakeOverOfOwnerCutOneWay(t *testing.T) {
+	for seed := range uint64(30) {
+		for _, deaf := range []bool{true, false} {
+			s := calm(t, seed, 7)
+			owner := s.processes[int(seed)%7]
+			id := owner.id
+			if deaf {
+				owner.deafUntil = s.now + time.Minute
+			} else {
+				owner.muteUntil = s.now + time.Minute
+			}
+			const target = 2 * time.Second
+			s.run(target, nothing)
+			removal, removed := s.truth.Removal(id)
+			require.True(t, removed, "seed %d, deaf %t: member %s is still present", seed, deaf, id)
+			require.Equal(t, applier.TakenOver, removal.Cause)
+		}
+	}
+}
+
+// TestOwnerHearsAgain guards against an owner that is not promised anything any more when it hears its guardians again
+// before they have attested, as after a short cut in one direction in a log outage.
+func TestOwnerHearsAgain(t *testing.T) {
+	for seed := range uint64(30) {
+		s := calm(t, seed, 7)
+		owner := s.processes[int(seed)%7]
+		s.logDownUntil = s.now + time.Minute
+		owner.deafUntil = s.now + 800*time.Millisecond
+		s.run(3*time.Second, nothing)
+		require.True(t, s.valid(owner), "seed %d", seed)
+	}
+}
+
 // blockedByCycle returns the lost members that wait for one another's removal, which only an operator can resolve.
 func blockedByCycle(state *applier.State, lost []applier.MemberID) map[applier.MemberID]bool {
 	blocked := map[applier.MemberID]bool{}
--- a/leaser/message.go
+++ b/leaser/message.go
@@ -18,6 +18,7 @@
 	Lapsed                       // lapsed
 	Attested                     // attested
 	Unwilling                    // stopping
+	Unheard                      // unheard
 )
 
 // Message is a lease message between two members. The types of this package that implement it are the only ones. The
@@ -35,10 +36,14 @@
 	kindReplaceRequest                        // replace_request
 )
 
-// Renew asks a guardian, or a candidate, for a promise. Version is the sender's applied guardian version.
+// Renew asks a guardian, or a candidate, for a promise. Version is the sender's applied guardian version. Unheard means
+// that the sender has had no answer from this guardian for more than two renewals. Such a renewal is refused with that
+// reason: a promise that doesn't arrive protects nobody, and would keep an owner that is cut off in one direction from
+// being taken over.
 type Renew struct {
 	Version  applier.Offset
 	Sequence uint64
+	Unheard  bool
 }
 
 // Promise answers the renewal with the same sequence: the sender does not attest for one term.
@@ -82,6 +87,7 @@
 	Version  applier.Offset   `cbor:"3,keyasint,omitempty"`
 	Sequence uint64           `cbor:"4,keyasint,omitempty"`
 	Reason   Reason           `cbor:"5,keyasint,omitempty"`
+	Unheard  bool             `cbor:"6,keyasint,omitempty"`
 }
 
 var encoder = mustEncoder()
@@ -102,7 +108,7 @@
 	w := wire{Kind: message.kind()}
 	switch v := message.(type) {
 	case Renew:
-		w.Version, w.Sequence = v.Version, v.Sequence
+		w.Version, w.Sequence, w.Unheard = v.Version, v.Sequence, v.Unheard
 	case Promise:
 		w.Sequence = v.Sequence
 	case Refusal:
@@ -124,11 +130,11 @@
 	}
 	switch w.Kind {
 	case kindRenew:
-		return Renew{Version: w.Version, Sequence: w.Sequence}, nil
+		return Renew{Version: w.Version, Sequence: w.Sequence, Unheard: w.Unheard}, nil
 	case kindPromise:
 		return Promise{Sequence: w.Sequence}, nil
 	case kindRefusal:
-		if w.Reason < NotPresent || w.Reason > Unwilling {
+		if w.Reason < NotPresent || w.Reason > Unheard {
 			return nil, errors.Errorf("unknown reason %d of a refusal", uint8(w.Reason))
 		}
 		return Refusal{Version: w.Version, Sequence: w.Sequence, Reason: w.Reason}, nil
--- a/leaser/names.go
+++ b/leaser/names.go
@@ -12,11 +12,12 @@
 	_ = x[Lapsed-2]
 	_ = x[Attested-3]
 	_ = x[Unwilling-4]
+	_ = x[Unheard-5]
 }
 
-const _Reason_name = "not_presentlapsedattestedstopping"
+const _Reason_name = "not_presentlapsedattestedstoppingunheard"
 
-var _Reason_index = [...]uint8{0, 11, 17, 25, 33}
+var _Reason_index = [...]uint8{0, 11, 17, 25, 33, 40}
 
 func (i Reason) String() string {
 	idx := int(i) - 1
--- a/leaser/owner.go
+++ b/leaser/owner.go
@@ -35,6 +35,8 @@
 	promises map[applier.MemberID]time.Duration
 	// answered holds when each member last answered in a way that makes it fit as guardian.
 	answered map[applier.MemberID]time.Duration
+	// heard holds when each member last answered a recent renewal in any way.
+	heard map[applier.MemberID]time.Duration
 	// attested guardians refuse to renew the present version.
 	attested map[applier.MemberID]bool
 	// unwanted members asked to be replaced or refused new members to guard.
@@ -51,6 +53,7 @@
 func newOwner() owner {
 	return owner{
 		promises: map[applier.MemberID]time.Duration{}, answered: map[applier.MemberID]time.Duration{},
+		heard:    map[applier.MemberID]time.Duration{},
 		attested: map[applier.MemberID]bool{}, unwanted: map[applier.MemberID]bool{},
 		probes: map[applier.MemberID]time.Duration{}, avoided: map[applier.MemberID]time.Duration{},
 	}
@@ -73,7 +76,7 @@
 	m.proposals = slices.DeleteFunc(m.proposals, func(set []applier.MemberID) bool {
 		return slices.ContainsFunc(set, func(id applier.MemberID) bool { _, present := m.peers[id]; return !present })
 	})
-	for _, set := range []map[applier.MemberID]time.Duration{m.answered, m.probes, m.avoided, m.promises} {
+	for _, set := range []map[applier.MemberID]time.Duration{m.answered, m.heard, m.probes, m.avoided, m.promises} {
 		maps.DeleteFunc(set, func(id applier.MemberID, until time.Duration) bool {
 			_, present := m.peers[id]
 			return !present && until < m.now
@@ -89,6 +92,7 @@
 	clear(m.attested)
 	for _, id := range m.guardians {
 		m.answered[id] = m.now
+		m.heard[id] = m.now
 		delete(m.probes, id)
 	}
 }
@@ -117,22 +121,45 @@
 	m.sent = append(m.sent, sentRenewal{sequence: m.sequence, at: m.now})
 	actions := make([]Action, 0, len(targets))
 	for _, id := range targets {
-		actions = append(actions, Send{To: id, Message: Renew{Version: m.version, Sequence: m.sequence}})
+		actions = append(actions, Send{To: id, Message: Renew{
+			Version: m.version, Sequence: m.sequence, Unheard: m.unheard(id),
+		}})
 	}
 	return actions
 }
 
-func (m *Machine) countPromise(from applier.MemberID, p Promise) {
+// unheard reports whether a member has not answered for more than two renewals. The quarter more covers the interval of the
+// steps. Guardians of a member that hears nothing then let their promises lapse soon enough for its keys to be served
+// again within two seconds.
+func (m *Machine) unheard(id applier.MemberID) bool {
+	at, known := m.heard[id]
+	return known && m.now > at+2*m.config.Renewal+m.config.Renewal/4
+}
+
+// sentAt returns when a recent renewal was sent. An answer to an older one counts as none.
+func (m *Machine) sentAt(sequence uint64) (time.Duration, bool) {
 	for _, s := range m.sent {
-		if s.sequence == p.Sequence {
-			m.promises[from] = max(m.promises[from], s.at+m.shortTerm())
-			m.answered[from] = m.now
-			return
+		if s.sequence == sequence {
+			return s.at, true
 		}
 	}
+	return 0, false
+}
+
+func (m *Machine) countPromise(from applier.MemberID, p Promise) {
+	if at, recent := m.sentAt(p.Sequence); recent {
+		m.promises[from] = max(m.promises[from], at+m.shortTerm())
+		m.answered[from], m.heard[from] = m.now, m.now
+	}
 }
 
 func (m *Machine) noteRefusal(from applier.MemberID, r Refusal) {
+	if _, recent := m.sentAt(r.Sequence); recent {
+		m.heard[from] = m.now
+		if r.Reason == Unheard {
+			m.nextRenewal = m.now
+		}
+	}
 	switch r.Reason {
 	case Attested:
 		if r.Version == m.version {
@@ -141,7 +168,7 @@
 		}
 	case Unwilling:
 		m.unwanted[from] = true
-	case Lapsed, NotPresent:
+	case Lapsed, NotPresent, Unheard:
 		// The refusing member may be fit again soon; it counts as silent until then.
 	}
 }
--- a/leaser/simulation_test.go
+++ b/leaser/simulation_test.go
@@ -22,8 +22,11 @@
 	pausedUntil time.Duration
 	lagUntil    time.Duration
 	cutUntil    time.Duration
-	restartAt   time.Duration
-	leaveAt     time.Duration
+	// deafUntil and muteUntil end a cut in one direction only.
+	deafUntil time.Duration
+	muteUntil time.Duration
+	restartAt time.Duration
+	leaveAt   time.Duration
 }
 
 type delivery struct {
@@ -150,7 +153,7 @@
 	})
 	for _, d := range due {
 		from, to := s.find(d.from), s.find(d.to)
-		cut := to == nil || !to.alive || s.now < to.cutUntil || (from != nil && s.now < from.cutUntil)
+		cut := to == nil || !to.alive || s.now < max(to.cutUntil, to.deafUntil) || (from != nil && s.now < max(from.cutUntil, from.muteUntil))
 		if cut {
 			continue
 		}
