experimenter: the wait for spread ranges has a limit and says what is missing

awaitSpread had no limit of its own. With max_moves_per_minute 0 no range moves to a new member, so it waited until the minute for the start of the fleet was over and then said "context deadline exceeded".

It now ends after 30 s, and its error names a member, its ranges, its fair share and a placement that allows no moves.

Test: TestSpreadIsGivenUp failed before (after 10 s, its own deadline, with "context deadline exceeded") and passes now.

--- a/experimenter/customer.go
+++ b/experimenter/customer.go
@@ -9,7 +9,6 @@
 
 	"github.com/pkg/errors"
 
-	"hibiscusline/applier"
 	"hibiscusline/emulator"
 	"hibiscusline/generator"
 	"hibiscusline/launcher"
@@ -91,53 +90,12 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := awaitSpread(ctx, f); err != nil {
+	if err := awaitSpread(ctx, f, spreadLimit); err != nil {
 		return nil, errors.WithMessage(err, fmt.Sprintf("spread ranges (stop: %v)", f.Stop()))
 	}
 	return f, nil
 }
 
-// awaitSpread waits until every member of a keyed service owns its fair share of the ranges. The first members of a new
-// cluster own all ranges until the others have joined.
-func awaitSpread(ctx context.Context, f *launcher.Fleet) error {
-	const interval = 200 * time.Millisecond
-	// A member that was met with half of its share counts as settled, and load decides on the rest.
-	const patience = 8 * time.Second
-	started := time.Now()
-	for {
-		share := 1.0
-		if time.Since(started) > patience {
-			share = 0.5
-		}
-		spread, err := isSpread(ctx, f, share)
-		if err != nil || spread {
-			return err
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(interval):
-		}
-	}
-}
-
-func isSpread(ctx context.Context, f *launcher.Fleet, share float64) (bool, error) {
-	state, err := f.State(ctx)
-	if err != nil {
-		return false, err
-	}
-	spread := true
-	state.View(func(s *applier.State) {
-		for service, assignments := range s.Assignments {
-			members := s.MembersOf(service)
-			for _, m := range members {
-				spread = spread && len(s.Owned(m.ID)) >= int(share*float64(len(assignments)/len(members)))
-			}
-		}
-	})
-	return spread, nil
-}
-
 // target returns the target of a rank.
 func (c customer) target(rank string) validator.Duration { return c.configuration.Ranks[rank].Target }
 
