daemon: records of the lease machine are appended again while the log fails

An owner was killed at the beginning of an outage of the log.

The append itself is now repeated every 250 to 500 ms while the log answers with an error or not at all. The record keeps its id, so a lost answer makes only a harmless duplicate. The back-off between two records of the machine is as before: it limits the appends that the log accepts, which the repetition does not add to.

Test: TestTakeOverIsAppendedAfterOutage failed before and passes now.

--- a/daemon/log.go
+++ b/daemon/log.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"os"
 	"runtime/debug"
@@ -230,6 +231,38 @@
 	})
 }
 
+// appendLease appends a record of the lease machine, and again while the log fails. The machine's own back-off is longer
+// than two seconds, so that the loss of a zone doesn't flood the log, but an owner that was lost in an outage of the log
+// must be replaced within two seconds of its return. Repetitions end when the machine has asked again.
+func (d *Daemon) appendLease(r applier.Record) {
+	const (
+		interval = 500 * time.Millisecond
+		limit    = 16 * time.Second
+	)
+	d.metrics.GetOrCreateCounter(`hibiscus_appends_total{kind="` + applier.KindOf(r).String() + `"}`).Inc()
+	e := appender.NewEnvelope(r)
+	d.tasks.Go(func() {
+		ctx, cancel := d.background()
+		defer cancel()
+		for began := time.Now(); ; {
+			_, err := d.client.Append(ctx, e)
+			d.kick()
+			if err == nil {
+				return
+			}
+			d.metrics.GetOrCreateCounter("hibiscus_append_errors_total").Inc()
+			if time.Since(began) > limit {
+				return
+			}
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(interval/2 + rand.N(interval/2)):
+			}
+		}
+	})
+}
+
 // commit appends a record until it was applied here, and returns what became of it.
 func (d *Daemon) commit(ctx context.Context, r applier.Record) (applier.Result, error) {
 	const resend = 500 * time.Millisecond
--- a/daemon/member.go
+++ b/daemon/member.go
@@ -163,7 +163,7 @@
 		case leaser.Send:
 			d.sendLease(n, a.To, a.Message)
 		case leaser.Append:
-			d.appendOnce(a.Record)
+			d.appendLease(a.Record)
 		}
 	}
 }
