experimenter, launcher: faults judges cut off owners, lost backend servers and every fault of the log

`faults` judged the time that keys are unavailable only for owners whose process was killed or frozen, and for live owners only in outages of the log.

It now measures keys of owners that were cut off from their peers, from peers and log, or in one direction, and keys whose backend server crashed or froze, each kind in a field of its own with the number of keys. The bound of all is the target of 2 s. Successors of an unfenced server first wait out max_request, which is added from the configuration and reported as a bound of its own; it is not added after a crash of the server, which ends its requests. Owners that were lost together with one of their guardians have a field of their own under the same bound. Keys of live owners are judged in all faults of the log (slow, lost answers, trimmed, down) and when only one process is cut from the log, until the end of the slot.

--- a/experimenter/faultkinds.go
+++ b/experimenter/faultkinds.go
@@ -23,17 +23,11 @@
 	if !waitUntil(ctx, r.started.Add(f.begin())) {
 		return
 	}
-	n := r.fleet.Nodes[f.Node]
-	if f.Kind == faultGuardian {
-		if guardians := r.watch.guardians(n); len(guardians) > 0 {
-			f.Node = slices.Index(r.fleet.Nodes, guardians[0])
-			n = guardians[0]
-		}
-	}
-	r.mark(f.Node, 1)
+	n := r.aim(f)
 	defer r.mark(f.Node, -1)
-	if slices.Contains([]string{faultKill, faultFreeze, faultGuardian}, f.Kind) {
-		r.noteLost(f, n)
+	if slices.Contains(lossFaults, f.Kind) {
+		r.lose(f, n)
+		defer r.regain(f)
 	}
 	end := func() { waitUntil(ctx, r.started.Add(f.end())) }
 	if err := r.perform(ctx, f, n, end); err != nil {
@@ -43,6 +37,31 @@
 	}
 }
 
+// aim chooses the process that a fault hits and marks it. A fault of an owner goes to a process that owns a probed key,
+// since it could not be judged otherwise, and to one that has no fault yet.
+func (r *faultRun) aim(f *fault) *launcher.Node {
+	var candidates []*launcher.Node
+	switch {
+	case f.Kind == faultGuardian:
+		candidates = r.watch.guardians(r.fleet.Nodes[f.Node])
+	case slices.Contains(lossFaults, f.Kind) || f.Kind == faultCutLog:
+		for _, p := range r.probes {
+			candidates = append(candidates, r.watch.owner(p.service, p.key))
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for k := range r.fleet.Nodes {
+		i := (f.Node + k) % len(r.fleet.Nodes)
+		if r.hit[i] == 0 && slices.Contains(candidates, r.fleet.Nodes[i]) {
+			f.Node = i
+			break
+		}
+	}
+	r.hit[f.Node]++
+	return r.fleet.Nodes[f.Node]
+}
+
 func waitUntil(ctx context.Context, at time.Time) bool {
 	select {
 	case <-ctx.Done():
@@ -57,34 +76,13 @@
 	r.hit[node] += change
 }
 
-// noteLost remembers the probes whose key's owner is about to be lost, unless two processes that guard each other are.
-func (r *faultRun) noteLost(f *fault, n *launcher.Node) {
-	for _, g := range r.watch.guardians(n) {
-		index := slices.Index(r.fleet.Nodes, g)
-		r.mu.Lock()
-		hit := r.hit[index] > 0
-		r.mu.Unlock()
-		f.Mutual = f.Mutual || hit && slices.Contains(r.watch.guardians(g), n)
-	}
-	if f.Mutual {
-		return
-	}
-	for _, p := range r.probes {
-		if r.watch.owner(p.service, p.key) == n {
-			r.mu.Lock()
-			r.lost = append(r.lost, lostOwner{p, f})
-			r.mu.Unlock()
-		}
-	}
-}
-
 func (r *faultRun) perform(ctx context.Context, f *fault, n *launcher.Node, end func()) error {
 	switch f.Kind {
 	case faultKill, faultGuardian:
 		if err := n.Kill(); err != nil {
 			return err
 		}
-		if f.Mutual {
+		if r.isMutual(f) {
 			r.evict(ctx, n)
 		}
 		end()
@@ -120,6 +118,12 @@
 	return nil
 }
 
+func (r *faultRun) isMutual(f *fault) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return f.Mutual
+}
+
 func (r *faultRun) evict(ctx context.Context, n *launcher.Node) {
 	if m, present := r.watch.member(n); present {
 		// The operator's command is lost when the log is down; the member is then evicted by nobody.
--- a/experimenter/faultprobe.go
+++ b/experimenter/faultprobe.go
@@ -55,8 +55,9 @@
 	defer client.CloseIdleConnections()
 	ticker := time.NewTicker(probeInterval)
 	defer ticker.Stop()
-	// Requests overlap, since one that is lost at a killed owner must not hide that the key is served again.
-	slots := make(chan struct{}, 40)
+	// Requests overlap, since one that is lost at a killed owner must not hide that the key is served again. There are
+	// enough slots that probes go on when every one waits until the client gives it up.
+	slots := make(chan struct{}, (probeTimeout+time.Second)/probeInterval)
 	var requests sync.WaitGroup
 	defer requests.Wait()
 	for i := 0; ; i++ {
--- a/experimenter/faults.go
+++ b/experimenter/faults.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"os"
-	"slices"
 	"sync"
 	"time"
 
@@ -23,39 +22,61 @@
 	unavailableTarget = 2 * time.Second
 	leavingTarget     = 3 * time.Second
 	lagTarget         = 4 * time.Second
-	// deskRequest and stockRequest are the max_request of the two keyed services. The servers of the second one don't check
-	// grants, so their successors wait that long.
-	deskRequest  = time.Second
-	stockRequest = 500 * time.Millisecond
+)
+
+// fencedService and unfencedService are the two keyed services. Servers of the second one don't check grants.
+const (
+	fencedService   = "desk"
+	unfencedService = "stock"
 )
 
 type faultsResult struct {
-	Experiment            string   `json:"experiment"`
-	Seed                  uint64   `json:"seed"`
-	Requests              uint64   `json:"requests"`
-	Answered              uint64   `json:"answered"`
-	OwnersOverlapping     int      `json:"owners_overlapping"`
-	Doubled               int      `json:"doubled"`
-	Crossed               uint64   `json:"crossed"`
-	Truncated             uint64   `json:"truncated"`
-	NotRunButRan          int      `json:"not_run_but_ran"`
-	Unjudged              uint64   `json:"unjudged"`
-	CutInFlight           int64    `json:"cut_in_flight"`
-	InFlightSent          int64    `json:"in_flight_sent"`
-	ConfigReverted        int      `json:"config_reverted"`
-	AssignmentsLost       int      `json:"assignments_lost"`
-	StatusesChecked       int      `json:"statuses_checked"`
-	PoisonCrashes         uint64   `json:"poison_crashes_max"`
-	UnavailableMs         int64    `json:"unavailable_ms_max"`
-	UnavailableUnfencedMs int64    `json:"unavailable_unfenced_ms_max"`
-	LiveUnavailableMs     int64    `json:"live_owner_unavailable_ms"`
-	ProbeResolutionMs     int64    `json:"probe_resolution_ms"`
-	LeavingMs             int64    `json:"leaving_server_new_work_ms"`
-	ConfigLagMs           int64    `json:"config_lag_ms_max"`
-	ConfigLagAt           string   `json:"config_lag_at"`
-	Directory             string   `json:"directory,omitempty"`
-	Schedule              []*fault `json:"schedule"`
-	Failures              []string `json:"failures,omitempty"`
+	Experiment            string `json:"experiment"`
+	Seed                  uint64 `json:"seed"`
+	Requests              uint64 `json:"requests"`
+	Answered              uint64 `json:"answered"`
+	OwnersOverlapping     int    `json:"owners_overlapping"`
+	Doubled               int    `json:"doubled"`
+	Crossed               uint64 `json:"crossed"`
+	Truncated             uint64 `json:"truncated"`
+	NotRunButRan          int    `json:"not_run_but_ran"`
+	Unjudged              uint64 `json:"unjudged"`
+	CutInFlight           int64  `json:"cut_in_flight"`
+	InFlightSent          int64  `json:"in_flight_sent"`
+	ConfigReverted        int    `json:"config_reverted"`
+	AssignmentsLost       int    `json:"assignments_lost"`
+	StatusesChecked       int    `json:"statuses_checked"`
+	PoisonCrashes         uint64 `json:"poison_crashes_max"`
+	UnavailableMs         int64  `json:"unavailable_ms_max"`
+	UnavailableUnfencedMs int64  `json:"unavailable_unfenced_ms_max"`
+	// The next six are those of the other ways to lose an owner. An owner that is lost in any way together with one of its
+	// guardians counts only there, since its successor has to wait for the guardian's removal first.
+	WithGuardianUnavailable unavailable `json:"unavailable_with_guardian"`
+	CutPeersUnavailable     unavailable `json:"unavailable_cut_from_peers"`
+	CutBothUnavailable      unavailable `json:"unavailable_cut_from_both"`
+	OneWayUnavailable       unavailable `json:"unavailable_cut_one_way"`
+	ServerCrashUnavailable  unavailable `json:"unavailable_server_crash"`
+	ServerFreezeUnavailable unavailable `json:"unavailable_server_freeze"`
+	// UnavailableBoundMs are the exclusive bounds of all of these. Successors of an unfenced server wait max_request first,
+	// but not after its crash, which ends its requests.
+	UnavailableBoundMs         int64    `json:"unavailable_bound_ms"`
+	UnavailableUnfencedBoundMs int64    `json:"unavailable_unfenced_bound_ms"`
+	LiveUnavailableMs          int64    `json:"live_owner_unavailable_ms"`
+	ProbeResolutionMs          int64    `json:"probe_resolution_ms"`
+	LeavingMs                  int64    `json:"leaving_server_new_work_ms"`
+	ConfigLagMs                int64    `json:"config_lag_ms_max"`
+	ConfigLagAt                string   `json:"config_lag_at"`
+	Directory                  string   `json:"directory,omitempty"`
+	Schedule                   []*fault `json:"schedule"`
+	Failures                   []string `json:"failures,omitempty"`
+}
+
+func newFaultsResult(seed uint64) *faultsResult {
+	return &faultsResult{
+		Experiment: "faults", Seed: seed, ProbeResolutionMs: probeInterval.Milliseconds(),
+		UnavailableBoundMs:         unavailableTarget.Milliseconds(),
+		UnavailableUnfencedBoundMs: unfencedTarget(faultConfiguration()).Milliseconds(),
+	}
 }
 
 // Broken implements Result.
@@ -79,17 +100,11 @@
 			broken = append(broken, fmt.Sprintf("%d %s", count.count, count.what))
 		}
 	}
-	for _, bound := range []struct {
-		what      string
-		ms        int64
-		exclusive time.Duration
-	}{
-		{"key of a lost owner unavailable", r.UnavailableMs, unavailableTarget},
-		{"key of a lost owner of an unfenced server unavailable", r.UnavailableUnfencedMs, unavailableTarget + stockRequest},
-		{"key of a live owner unavailable in a log outage", r.LiveUnavailableMs, time.Millisecond},
-		{"new work at a leaving server", r.LeavingMs, leavingTarget},
-		{"configuration lag", r.ConfigLagMs, lagTarget},
-	} {
+	for _, bound := range append(r.availability(),
+		timeBound{"key of a live owner unavailable in a fault of the log", r.LiveUnavailableMs, time.Millisecond},
+		timeBound{"new work at a leaving server", r.LeavingMs, leavingTarget},
+		timeBound{"configuration lag", r.ConfigLagMs, lagTarget},
+	) {
 		if bound.ms >= bound.exclusive.Milliseconds() {
 			broken = append(broken, fmt.Sprintf("%s for %d ms; promised: below %s", bound.what, bound.ms, bound.exclusive))
 		}
@@ -108,8 +123,9 @@
 	result  *faultsResult
 
 	mu sync.Mutex
-	// hit holds the processes that have a fault now, and lost the faults that took the owner of probes away.
+	// hit counts the faults that each process has now, and gone holds the fault by which a process is lost now.
 	hit     map[int]int
+	gone    map[int]*fault
 	leaving []leavingServer
 	lost    []lostOwner
 }
@@ -120,12 +136,6 @@
 	from, to time.Duration
 }
 
-// lostOwner is a probe whose key's owner was killed or frozen at a time.
-type lostOwner struct {
-	probe *probe
-	fault *fault
-}
-
 func faultServices() []launcher.Service {
 	settings := backend(8 * time.Millisecond)
 	return []launcher.Service{
@@ -139,8 +149,8 @@
 	ms := func(d time.Duration) validator.Duration { return validator.Duration(d) }
 	return validator.Configuration{
 		Services: map[string]validator.Service{
-			"desk":    {Keyed: true, InitialRanges: 100, MaxRequest: ms(deskRequest), IdempotencyWindow: ms(time.Minute)},
-			"stock":   {Keyed: true, InitialRanges: 120, MaxRequest: ms(stockRequest), IdempotencyWindow: ms(time.Minute)},
+			"desk":    {Keyed: true, InitialRanges: 100, MaxRequest: ms(time.Second), IdempotencyWindow: ms(time.Minute)},
+			"stock":   {Keyed: true, InitialRanges: 120, MaxRequest: ms(500 * time.Millisecond), IdempotencyWindow: ms(time.Minute)},
 			"archive": {MaxRequest: ms(time.Second)},
 		},
 		Ranks: map[string]validator.Rank{
@@ -189,8 +199,7 @@
 		return nil, err
 	}
 	r := &faultRun{
-		fleet: f, options: o, hit: map[int]int{},
-		result: &faultsResult{Experiment: "faults", Seed: o.Seed, ProbeResolutionMs: probeInterval.Milliseconds()},
+		fleet: f, options: o, hit: map[int]int{}, gone: map[int]*fault{}, result: newFaultsResult(o.Seed),
 	}
 	r.faults = schedule(o.Seed, o.Duration, len(f.Nodes))
 	// Pairs of processes that guard each other, which form while a fleet starts, end in this time.
@@ -218,7 +227,7 @@
 	defer cancel()
 	var tasks sync.WaitGroup
 	tasks.Go(func() { r.watch.run(background) })
-	for _, service := range []string{"desk", "stock"} {
+	for _, service := range []string{fencedService, unfencedService} {
 		for i := range probedKeys {
 			p := &probe{service: service, key: fmt.Sprintf("probe-%d", i)}
 			r.probes = append(r.probes, p)
@@ -282,45 +291,6 @@
 	}
 }
 
-// judgeAvailability measures the keys whose owner was killed or frozen, and during log outages all others.
-func (r *faultRun) judgeAvailability() {
-	for _, l := range r.lost {
-		from, to := l.fault.begin(), l.fault.begin()+slotLength-time.Second
-		for _, o := range r.faults {
-			// A successor can be named only when the log is back.
-			if logOutage(o.Kind) && o.slot == l.fault.slot && o.begin() < to {
-				from = max(from, o.end())
-			}
-		}
-		worst := l.probe.worst(from, to).Milliseconds()
-		if l.probe.service == "stock" {
-			r.result.UnavailableUnfencedMs = max(r.result.UnavailableUnfencedMs, worst)
-		} else {
-			r.result.UnavailableMs = max(r.result.UnavailableMs, worst)
-		}
-		l.fault.Result += fmt.Sprintf(" %s/%s unavailable %d ms;", l.probe.service, l.probe.key, worst)
-	}
-	for _, f := range r.faults {
-		if !logOutage(f.Kind) || slices.ContainsFunc(r.faults, func(o *fault) bool { return o.slot == f.slot && !logFault(o.Kind) }) {
-			continue
-		}
-		for _, p := range r.probes {
-			// A gap of two intervals and the time of a request is within the resolution.
-			const resolution = 2*probeInterval + 100*time.Millisecond
-			if worst := p.worst(f.begin(), f.end()); worst > resolution {
-				r.result.LiveUnavailableMs = max(r.result.LiveUnavailableMs, worst.Milliseconds())
-				f.Result += fmt.Sprintf(" %s/%s unavailable %d ms;", p.service, p.key, worst.Milliseconds())
-			}
-		}
-	}
-}
-
-func logOutage(kind string) bool { return kind == faultLogDown }
-
-func logFault(kind string) bool {
-	return slices.Contains([]string{faultLogDown, faultLogSlow, faultLogLoses, faultLogTrims}, kind)
-}
-
 // leavingWork returns the longest time after which a leaving server still got new work.
 func (r *faultRun) leavingWork() (worst time.Duration) {
 	for _, e := range r.fleet.Ledger.Report().Executions {
--- a/experimenter/faultschedule.go
+++ b/experimenter/faultschedule.go
@@ -15,8 +15,10 @@
 	At  int64 `json:"at_ms"`
 	For int64 `json:"for_ms"`
 	// Mutual means that two processes that guarded each other were lost at once, which an operator has to resolve.
-	Mutual bool   `json:"mutual,omitempty"`
-	Result string `json:"result,omitempty"`
+	Mutual bool `json:"mutual,omitempty"`
+	// Guardians are the indices of the processes that guarded a lost owner.
+	Guardians []int  `json:"guardians,omitempty"`
+	Result    string `json:"result,omitempty"`
 
 	slot int
 }
--- a/launcher/network.go
+++ b/launcher/network.go
@@ -80,10 +80,12 @@
 	}
 }
 
-// Disturb sets toxics in both directions on the connections that peers open to the process. They replace a cut.
+// Disturb sets toxics in both directions on the connections that peers open to the process. A cut by CutPeers stays.
 func (n *Node) Disturb(t disruptor.Toxics) {
-	n.network.quic.Set(disruptor.Upstream, t)
-	n.network.quic.Set(disruptor.Downstream, t)
+	for _, d := range []disruptor.Direction{disruptor.Upstream, disruptor.Downstream} {
+		t.Cut = n.network.quic.Toxics(d).Cut
+		n.network.quic.Set(d, t)
+	}
 }
 
 // advertised returns the address at which peers reach the process.
