--- a/daemon/member.go
+++ b/daemon/member.go
@@ -171,7 +171,7 @@
 		case leaser.Send:
 			d.sendLease(n, a.To, a.Message)
 		case leaser.Append:
-			d.appendOnce(a.Record)
+			d.appendLease(a.Record)
 		}
 	}
 }
