balancer, daemon: a failing or frozen member takes the place of one ejected earlier

In `balance` a server that failed everything went on getting requests. The trace showed five more faults:

- An entry took only the first of the members that it met at its start for warm.
The others were sent a tenth of their share for 10 s, so the first one queued up, was ejected as slow, and requests went to a random member, ejected or not.
- Members that the request was tried at were left out of the number of members, so that retries lowered the share to none.
- The ejection of a member that had left counted for a minute.
- Members of different services were compared: those of the slower service looked like outliers.
- One warm member among cold ones got all requests, up to 64 in flight from one entry, while the cold ones were idle.

Now failing and frozen members replace the slow one, or the one ejected first. The share of failures also adds to how busy a member looks, which keeps requests away where no ejection is allowed (2 members). Cold members relieve warm ones that are busier in proportion to the ramp. Each service has a chooser of its own. Gauges count ejections by cause.

--- a/balancer/candidate.go
+++ b/balancer/candidate.go
@@ -6,7 +6,7 @@
 	"hibiscusline/applier"
 )
 
-//go:generate go tool stringer -type=Policy,Outcome -linecomment -output=names.go
+//go:generate go tool stringer -type=Policy,Outcome,Cause -linecomment -output=names.go
 
 // Policy is the way in which a Chooser picks. The policies other than TwoChoices are baselines for measurements.
 type Policy uint8
@@ -35,11 +35,34 @@
 // MarshalText writes the outcome's name.
 func (o Outcome) MarshalText() ([]byte, error) { return []byte(o.String()), nil }
 
+// Cause is the reason of an ejection.
+type Cause uint8
+
+// Causes of ejections.
+const (
+	Failing Cause = iota // failing
+	Slow                 // slow
+	Frozen               // frozen
+	causes  = iota
+)
+
+// ChooserCounts counts the events of a Chooser since it was made.
+type ChooserCounts struct {
+	// Ejected counts ejections by Cause.
+	Ejected [causes]uint64
+	// Refused counts requests after which a member was not ejected because the share was used up.
+	Refused uint64
+	// Replaced counts members that were taken back in favour of an ejection with newer evidence.
+	Replaced uint64
+}
+
 // Candidate is a member that may get a request.
 type Candidate struct {
 	ID    applier.MemberID
 	Zone  string
 	Slots int
+	// Tried means that the request was sent to the member before. Another one is preferred.
+	Tried bool
 	// Joined is the time since the member was first seen.
 	Joined time.Duration
 	// ReportedInFlight is the number of requests that the member reported, and ReportAge the age of that report.
--- a/balancer/chooser_test.go
+++ b/balancer/chooser_test.go
@@ -114,6 +114,86 @@
 	}
 }
 
+// TestNewerOutlier guards against a member that fails or freezes and still gets requests because another member, which was
+// slow or failed a moment ago and is healthy again, holds the only ejection that the share allows.
+func TestNewerOutlier(t *testing.T) {
+	for name, spoil := range map[string]func(first, second *server){
+		"slow, then failing":   func(first, second *server) { first.service, second.fails = 400*time.Millisecond, true },
+		"failing, then frozen": func(first, second *server) { first.fails, second.frozen = true, true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, count := range []int{3, 4} {
+				servers, candidates := fleet(count)
+				c := NewChooser(ChooserConfig{Seed: 7})
+				runServers(c, servers, candidates, 5, func() {})
+				spoil(servers[0], &server{})
+				runServers(c, servers, candidates, 3, func() {})
+				*servers[0] = server{service: 10 * time.Millisecond}
+				spoil(&server{}, servers[1])
+				bad := runServers(c, servers, candidates, 3, func() {})
+				require.Less(t, bad, 30, "more than 1%% of the requests failed with %d members", count)
+			}
+		})
+	}
+}
+
+// TestFailingCannotBeEjected guards against a member that gets its full share of requests while it fails all of them,
+// because too few members are left for an ejection.
+func TestFailingCannotBeEjected(t *testing.T) {
+	servers, candidates := fleet(2)
+	c := NewChooser(ChooserConfig{Seed: 9})
+	servers[0].fails = true
+	bad := runServers(c, servers, candidates, 10, func() {})
+	require.Empty(t, c.ejected)
+	require.Less(t, bad, 300, "more than 3%% of the requests failed")
+	servers[0].fails, servers[0].picked = false, 0
+	runServers(c, servers, candidates, 30, func() {})
+	require.Greater(t, servers[0].picked, 10000, "the member recovered and must get requests again")
+}
+
+// TestTriedMembers guards against retries that go to a member that was tried, that serve as probes, or that shrink the
+// share of members that may be ejected.
+func TestTriedMembers(t *testing.T) {
+	servers, candidates := fleet(3)
+	c := NewChooser(ChooserConfig{Seed: 11})
+	servers[0].fails = true
+	runServers(c, servers, candidates, 5, func() {})
+	require.True(t, c.Ejected(1))
+	c.ejected[1].until = 0
+	candidates[1].Tried = true
+	for range 20 {
+		id, found := c.Pick(c.now, candidates, "a")
+		require.True(t, found)
+		require.Equal(t, applier.MemberID(3), id)
+	}
+	require.Equal(t, 3, c.count)
+}
+
+// TestRampOverflow guards against a warm member whose queue grows without end while cold members are nearly idle. The warm
+// one can answer two of three requests.
+func TestRampOverflow(t *testing.T) {
+	_, candidates := fleet(3)
+	candidates[1].Joined, candidates[2].Joined = 0, 0
+	c := NewChooser(ChooserConfig{Seed: 13})
+	now, ends := time.Hour, map[int][]applier.MemberID{}
+	for step := range 3000 {
+		now += time.Millisecond
+		if step%3 > 0 && c.InFlight(1) > 0 {
+			c.Finished(now, 1, Success, 20*time.Millisecond)
+		}
+		for _, id := range ends[step] {
+			c.Finished(now, id, Success, 20*time.Millisecond)
+		}
+		id, _ := c.Pick(now, candidates, "a")
+		c.Started(id)
+		if id != 1 {
+			ends[step+20] = append(ends[step+20], id)
+		}
+	}
+	require.Less(t, c.InFlight(1), 100)
+	require.Greater(t, c.InFlight(1), c.InFlight(2)+c.InFlight(3), "cold members get a small share")
+}
+
 // TestReportsAreHints guards against load reports that attract or repel all requests.
 func TestReportsAreHints(t *testing.T) {
 	servers, candidates := fleet(4)
--- a/balancer/health.go
+++ b/balancer/health.go
@@ -29,6 +29,10 @@
 
 	outcomeWeight = 1.0 / 16
 	shedHalfLife  = time.Second
+	// failureWeight is what a member that fails everything adds to how busy it looks, in requests in flight per slot. It
+	// keeps most requests away before the ejection and where no ejection is allowed.
+	failureWeight   = 4
+	failureHalfLife = 5 * time.Second
 )
 
 // health is what a Chooser knows first-hand of a member.
@@ -43,8 +47,13 @@
 	latency  time.Duration
 	shed     float64
 	shedAt   time.Duration
+	// trouble is the share of failures as of troubleAt; unlike failures it fades with time.
+	trouble   float64
+	troubleAt time.Duration
 
 	out       bool
+	cause     Cause
+	ejectedAt time.Duration
 	until     time.Duration
 	ejections int
 	probing   bool
@@ -68,6 +77,8 @@
 	}
 	h.shed = shed * (1 - outcomeWeight)
 	h.failures += outcomeWeight * (failed - h.failures)
+	trouble := h.troubleNow(now)
+	h.trouble, h.troubleAt = trouble+outcomeWeight*(failed-trouble), now
 	// The latency of a failure says nothing about slowness, while a timeout took at least as long.
 	if outcome == Failure {
 		return
@@ -84,6 +95,11 @@
 	return h.shed * math.Exp2(-float64(now-h.shedAt)/float64(shedHalfLife))
 }
 
+// troubleNow is the share of recent requests that failed. It fades with time for the same reason as shedNow.
+func (h *health) troubleNow(now time.Duration) float64 {
+	return h.trouble * math.Exp2(-float64(now-h.troubleAt)/float64(failureHalfLife))
+}
+
 func (h *health) failing() bool {
 	return h.row >= failuresInRow || h.samples >= leastSamples && h.failures >= failureShare
 }
@@ -92,17 +108,25 @@
 	return reference > 0 && h.samples >= leastSamples && h.latency > slowFactor*reference && h.latency > reference+slowMargin
 }
 
-// review ejects frozen members, updates the reference latency and forgets members that are gone.
-func (c *Chooser) review() {
+// review ejects frozen members, updates the reference latency and forgets members that are gone. An ejection of a member
+// that is gone doesn't count against the share, since the member isn't among the candidates either.
+func (c *Chooser) review(candidates []Candidate) {
 	if c.now-c.reviewed < reviewInterval {
 		return
 	}
 	c.reviewed = c.now
+	present := make(map[applier.MemberID]bool, len(candidates))
+	for _, candidate := range candidates {
+		present[candidate.ID] = true
+	}
 	var latencies []time.Duration
 	for id, h := range c.members {
-		if h.inFlight == 0 && c.now-h.seen > forgetAfter {
-			delete(c.members, id)
+		if !present[id] {
+			h.out = false
 			delete(c.ejected, id)
+			if h.inFlight == 0 && c.now-h.seen > forgetAfter {
+				delete(c.members, id)
+			}
 			continue
 		}
 		if h.samples >= leastSamples {
@@ -114,17 +138,17 @@
 		slices.Sort(latencies)
 		c.reference = latencies[(len(latencies)-1)/2]
 	}
-	for _, id := range c.frozen() {
-		c.eject(id, c.members[id])
+	for _, id := range c.frozen(present) {
+		c.eject(id, c.members[id], Frozen)
 	}
 }
 
-// frozen lists members that have shown no sign of life for too long, in ascending order.
-func (c *Chooser) frozen() []applier.MemberID {
+// frozen lists present members that have shown no sign of life for too long, in ascending order.
+func (c *Chooser) frozen(present map[applier.MemberID]bool) []applier.MemberID {
 	limit := max(c.config.FrozenAfter, 2*slowFactor*c.reference)
 	var ids []applier.MemberID
 	for id, h := range c.members {
-		if !h.out && h.inFlight > 0 && c.now-h.progress > limit {
+		if present[id] && !h.out && h.inFlight > 0 && c.now-h.progress > limit {
 			ids = append(ids, id)
 		}
 	}
@@ -132,31 +156,82 @@
 	return ids
 }
 
-// eject stops sending requests to a member, unless a third of the candidates is ejected already: when most members look
-// bad, the fault is probably elsewhere, and the rest couldn't carry the load.
-func (c *Chooser) eject(id applier.MemberID, h *health) {
-	if c.config.Policy != TwoChoices || (len(c.ejected)+1)*3 > c.count {
+// eject stops sending requests to a member. At most a third of the candidates is ejected: when most members look bad, the
+// fault is probably elsewhere, and the rest couldn't carry the load. When the third is used up, a member that fails or is
+// frozen takes the place of one that was ejected earlier, since what is known of that one is older.
+func (c *Chooser) eject(id applier.MemberID, h *health, cause Cause) {
+	if c.config.Policy != TwoChoices {
+		return
+	}
+	if (len(c.ejected)+1)*3 > c.count && (cause == Slow || !c.release()) {
+		c.counts.Refused++
 		return
 	}
 	if c.now-h.until > forgiveAfter {
 		h.ejections = 0
 	}
-	h.out = true
+	h.out, h.cause, h.ejectedAt = true, cause, c.now
 	c.ejected[id] = h
+	c.counts.Ejected[cause]++
 	c.extend(h)
 }
 
+// release takes back the member that was ejected for slowness, or else the one that was ejected first. It reports false
+// when none is ejected or too many are.
+func (c *Chooser) release() bool {
+	if len(c.ejected)*3 > c.count {
+		return false
+	}
+	var oldest applier.MemberID
+	var found *health
+	for id, h := range c.ejected {
+		if found == nil || olderEjection(id, h, oldest, found) {
+			oldest, found = id, h
+		}
+	}
+	if found == nil {
+		return false
+	}
+	c.counts.Replaced++
+	c.readmit(oldest, found)
+	return true
+}
+
+func olderEjection(id applier.MemberID, h *health, otherID applier.MemberID, other *health) bool {
+	if slow := h.cause == Slow; slow != (other.cause == Slow) {
+		return slow
+	}
+	if h.ejectedAt != other.ejectedAt {
+		return h.ejectedAt < other.ejectedAt
+	}
+	return id < otherID
+}
+
+// readmit ends an ejection. The member is judged anew; what it failed lately still repels requests for a while.
+func (c *Chooser) readmit(id applier.MemberID, h *health) {
+	h.out, h.probing = false, false
+	h.row, h.failures, h.samples, h.latency = 0, 0, 0, 0
+	h.until, h.progress = c.now, c.now
+	delete(c.ejected, id)
+}
+
 func (c *Chooser) extend(h *health) {
 	h.probing = false
 	h.until = c.now + min(firstEjection<<min(h.ejections, 10), maxEjection)
 	h.ejections++
 }
 
-// probe returns an ejected candidate whose time has passed and that has no probe under way.
+// probe returns an ejected candidate whose time has passed and that has no probe under way. A request that was sent before
+// is no probe: it has less time left, and its caller has waited already.
 func (c *Chooser) probe(candidates []Candidate) (applier.MemberID, bool) {
 	if len(c.ejected) == 0 {
 		return 0, false
 	}
+	for _, candidate := range candidates {
+		if candidate.Tried {
+			return 0, false
+		}
+	}
 	for _, candidate := range candidates {
 		h, out := c.ejected[candidate.ID]
 		if !out || c.now < h.until || h.probing && c.now-h.probedAt < probeLimit {
@@ -179,7 +254,6 @@
 		c.extend(h)
 		return
 	}
-	h.out, h.probing = false, false
-	h.row, h.failures, h.samples, h.latency, h.until = 0, 0, 0, 0, c.now
-	delete(c.ejected, id)
+	h.trouble = 0
+	c.readmit(id, h)
 }
--- a/daemon/choose.go
+++ b/daemon/choose.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"hibiscusline/admitter"
 	"hibiscusline/applier"
 	"hibiscusline/balancer"
@@ -91,75 +93,120 @@
 	}
 }
 
-// chooser shares a balancer.Chooser between requests.
+// chooser shares one balancer.Chooser for each service between requests.
 type chooser struct {
 	zone    string
+	policy  balancer.Policy
 	reports func(applier.MemberID) (memberLoad, bool)
 
-	mu      sync.Mutex
-	chooser *balancer.Chooser
+	mu       sync.Mutex
+	services map[string]*serviceChooser
+}
+
+// serviceChooser chooses between the members of one service.
+type serviceChooser struct {
+	*balancer.Chooser
 	// seen holds the time since which each member is known. Members that are known from the start count as warm.
 	seen map[applier.MemberID]time.Duration
 }
 
 func newChooser(zone string, policy balancer.Policy, reports func(applier.MemberID) (memberLoad, bool)) *chooser {
 	return &chooser{
-		zone: zone, reports: reports,
-		chooser: balancer.NewChooser(balancer.ChooserConfig{Seed: rand.Uint64(), Policy: policy}),
-		seen:    map[applier.MemberID]time.Duration{},
+		zone: zone, policy: policy, reports: reports,
+		services: map[string]*serviceChooser{},
 	}
 }
 
-// Pick implements router.Chooser.
-func (c *chooser) Pick(members []applier.Member, avoid []applier.MemberID) (applier.MemberID, bool) {
-	fresh := slices.DeleteFunc(slices.Clone(members), func(m applier.Member) bool { return slices.Contains(avoid, m.ID) })
-	if len(fresh) == 0 {
-		fresh = members
+// of returns the chooser of a service. The lock must be held.
+func (c *chooser) of(service string) *serviceChooser {
+	s, known := c.services[service]
+	if !known {
+		s = &serviceChooser{
+			Chooser: balancer.NewChooser(balancer.ChooserConfig{Seed: rand.Uint64(), Policy: c.policy}),
+			seen:    map[applier.MemberID]time.Duration{},
+		}
+		c.services[service] = s
 	}
+	return s
+}
+
+// Pick implements router.Chooser.
+func (c *chooser) Pick(service string, members []applier.Member, tried []applier.MemberID) (applier.MemberID, bool) {
 	now := timer.Now()
-	candidates := make([]balancer.Candidate, len(fresh))
+	candidates := make([]balancer.Candidate, len(members))
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for i, m := range fresh {
-		candidates[i] = balancer.Candidate{ID: m.ID, Zone: m.Zone, Slots: m.Slots, Joined: now - c.firstSeen(m.ID, now), ReportAge: -1}
+	s := c.of(service)
+	s.note(members, now)
+	for i, m := range members {
+		candidates[i] = balancer.Candidate{
+			ID: m.ID, Zone: m.Zone, Slots: m.Slots, Joined: now - s.seen[m.ID], ReportAge: -1,
+			Tried: slices.Contains(tried, m.ID),
+		}
 		if report, known := c.reports(m.ID); known {
 			candidates[i].ReportedInFlight = report.load.Running + report.load.Queued
 			candidates[i].ReportAge = time.Since(report.at)
 		}
 	}
-	return c.chooser.Pick(now, candidates, c.zone)
+	return s.Pick(now, candidates, c.zone)
 }
 
 // maxSeen bounds the memory for members that have left.
 const maxSeen = 1 << 16
 
-func (c *chooser) firstSeen(id applier.MemberID, now time.Duration) time.Duration {
-	if at, known := c.seen[id]; known {
-		return at
-	}
-	if len(c.seen) >= maxSeen {
-		clear(c.seen)
+// note remembers since when members are known.
+func (s *serviceChooser) note(members []applier.Member, now time.Duration) {
+	if len(s.seen)+len(members) > maxSeen {
+		clear(s.seen)
 	}
 	at := now
-	if len(c.seen) == 0 {
+	if len(s.seen) == 0 {
 		at = 0
 	}
-	c.seen[id] = at
-	return at
+	for _, m := range members {
+		if _, known := s.seen[m.ID]; !known {
+			s.seen[m.ID] = at
+		}
+	}
 }
 
 // Started implements router.Chooser.
-func (c *chooser) Started(id applier.MemberID) {
+func (c *chooser) Started(service string, id applier.MemberID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.chooser.Started(id)
+	c.of(service).Started(id)
 }
 
 // Finished implements router.Chooser.
-func (c *chooser) Finished(id applier.MemberID, r encoder.Response, latency time.Duration) {
+func (c *chooser) Finished(service string, id applier.MemberID, r encoder.Response, latency time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.of(service).Finished(timer.Now(), id, outcomeOf(r), latency)
+}
+
+// sum adds a figure of the choosers of all services up.
+func (c *chooser) sum(figure func(*balancer.Chooser) float64) (sum float64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.chooser.Finished(timer.Now(), id, outcomeOf(r), latency)
+	for _, s := range c.services {
+		sum += figure(s.Chooser)
+	}
+	return sum
+}
+
+// register adds the gauges for operators.
+func (c *chooser) register(set *metrics.Set) {
+	gauge := func(name string, figure func(*balancer.Chooser) float64) {
+		set.NewGauge(name, func() float64 { return c.sum(figure) })
+	}
+	gauge("hibiscus_members_ejected", func(c *balancer.Chooser) float64 { return float64(c.EjectedNow()) })
+	for _, cause := range []balancer.Cause{balancer.Failing, balancer.Slow, balancer.Frozen} {
+		gauge(`hibiscus_ejections{cause="`+cause.String()+`"}`, func(c *balancer.Chooser) float64 {
+			return float64(c.Counts().Ejected[cause])
+		})
+	}
+	gauge("hibiscus_ejections_refused", func(c *balancer.Chooser) float64 { return float64(c.Counts().Refused) })
+	gauge("hibiscus_ejections_replaced", func(c *balancer.Chooser) float64 { return float64(c.Counts().Replaced) })
 }
 
 // outcomeOf judges a member by what became of a request there.
--- /dev/null
+++ b/daemon/choose_test.go
@@ -0,0 +1,67 @@
+package daemon
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscusline/applier"
+	"hibiscusline/balancer"
+	"hibiscusline/encoder"
+)
+
+func noReports(applier.MemberID) (memberLoad, bool) { return memberLoad{}, false }
+
+func membersOf(service string, first, count int) (members []applier.Member) {
+	for i := range count {
+		members = append(members, applier.Member{ID: applier.MemberID(first + i), Service: service, Zone: "a", Slots: 12})
+	}
+	return members
+}
+
+// TestFirstMembersAreWarm guards against an entry that takes all members but one for cold when it starts: that one was sent
+// nearly all requests for ten seconds.
+func TestFirstMembersAreWarm(t *testing.T) {
+	c := newChooser("a", balancer.TwoChoices, noReports)
+	members := membersOf("archive", 1, 4)
+	picked := map[applier.MemberID]int{}
+	for range 400 {
+		id, found := c.Pick("archive", members, nil)
+		require.True(t, found)
+		c.Started("archive", id)
+		picked[id]++
+	}
+	for _, m := range members {
+		require.InDelta(t, 100, picked[m.ID], 20)
+	}
+	late := append(members, membersOf("archive", 9, 1)...)
+	for range 100 {
+		id, _ := c.Pick("archive", late, nil)
+		c.Started("archive", id)
+		picked[id]++
+	}
+	require.Less(t, picked[9], 50, "a member that joins later starts gradually")
+}
+
+// TestServicesAreApart guards against members of a service that are ejected because another service answers faster.
+func TestServicesAreApart(t *testing.T) {
+	c := newChooser("a", balancer.TwoChoices, noReports)
+	answer := encoder.Response{Outcome: encoder.Answered, Status: http.StatusOK}
+	fast, slow := membersOf("archive", 1, 3), membersOf("reports", 4, 3)
+	for i := range 600 {
+		service, members, latency := "archive", fast, 10*time.Millisecond
+		if i%2 == 0 {
+			service, members, latency = "reports", slow, time.Second
+		}
+		id, _ := c.Pick(service, members, nil)
+		c.Started(service, id)
+		c.Finished(service, id, answer, latency)
+		// The review that takes in new latencies is due every 100 ms.
+		if i%60 == 0 {
+			time.Sleep(120 * time.Millisecond)
+		}
+	}
+	require.Zero(t, c.sum(func(c *balancer.Chooser) float64 { return float64(c.EjectedNow()) }))
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -101,8 +101,10 @@
 		loads:      map[applier.MemberID]memberLoad{},
 		stopped:    make(chan struct{}),
 	}
+	members := newChooser(c.Settings.Zone, chooserPolicy(c.Settings.Baseline.Chooser), d.reportOf)
+	members.register(d.metrics)
 	d.router = router.New(router.Config{
-		State: d.state, Exchanger: (*exchanger)(d), Chooser: newChooser(c.Settings.Zone, chooserPolicy(c.Settings.Baseline.Chooser), d.reportOf), Budget: budgetFor(c.Settings.Baseline),
+		State: d.state, Exchanger: (*exchanger)(d), Chooser: members, Budget: budgetFor(c.Settings.Baseline),
 		Backoff: newBackoff(), Parents: d.parent, DefaultTimeout: c.Settings.Limits.DefaultTimeout,
 		ReplayLimit: c.Settings.Limits.ReplayLimit, MaxHeaderBytes: c.Settings.Limits.MaxHeaderBytes, Metrics: d.metrics,
 	})
--- a/router/forward.go
+++ b/router/forward.go
@@ -131,14 +131,14 @@
 	ctx, release := rt.removed.watch(ctx, rt.config.State, m.ID)
 	started := time.Now()
 	if !c.head.Keyed {
-		rt.config.Chooser.Started(m.ID)
+		rt.config.Chooser.Started(c.head.Service, m.ID)
 	}
 	response, body := rt.config.Exchanger.Exchange(ctx, m, head, reader)
 	rt.hints.learn(m.ID, c.rank.Urgency, head.Remaining, response, time.Now())
 	done := func() {
 		release()
 		if !c.head.Keyed {
-			rt.config.Chooser.Finished(m.ID, response, time.Since(started))
+			rt.config.Chooser.Finished(c.head.Service, m.ID, response, time.Since(started))
 		}
 	}
 	if body == nil {
--- a/router/forward_test.go
+++ b/router/forward_test.go
@@ -37,11 +37,11 @@
 // firstUntried chooses the first member that was not tried.
 type firstUntried struct{}
 
-func (firstUntried) Pick(members []applier.Member, avoid []applier.MemberID) (applier.MemberID, bool) {
-	return members[min(len(avoid), len(members)-1)].ID, true
+func (firstUntried) Pick(_ string, members []applier.Member, tried []applier.MemberID) (applier.MemberID, bool) {
+	return members[min(len(tried), len(members)-1)].ID, true
 }
-func (firstUntried) Started(applier.MemberID)                                   {}
-func (firstUntried) Finished(applier.MemberID, encoder.Response, time.Duration) {}
+func (firstUntried) Started(string, applier.MemberID)                                   {}
+func (firstUntried) Finished(string, applier.MemberID, encoder.Response, time.Duration) {}
 
 type noLimit struct{}
 
--- a/router/router.go
+++ b/router/router.go
@@ -23,10 +23,10 @@
 
 // Chooser picks a member for a request that has no key. Its methods are safe for concurrent use.
 type Chooser interface {
-	// Pick chooses among members; avoid lists those that were tried already.
-	Pick(members []applier.Member, avoid []applier.MemberID) (applier.MemberID, bool)
-	Started(id applier.MemberID)
-	Finished(id applier.MemberID, r encoder.Response, latency time.Duration)
+	// Pick chooses among all members of a service; tried lists those that were sent the request already.
+	Pick(service string, members []applier.Member, tried []applier.MemberID) (applier.MemberID, bool)
+	Started(service string, id applier.MemberID)
+	Finished(service string, id applier.MemberID, r encoder.Response, latency time.Duration)
 }
 
 // Budget limits retries. Its methods are safe for concurrent use.
@@ -150,7 +150,7 @@
 		return rt.owner(c.head.Service, c.head.At)
 	}
 	members := rt.directory.active(rt.config.State, c.head.Service)
-	id, found := rt.config.Chooser.Pick(members, tried)
+	id, found := rt.config.Chooser.Pick(c.head.Service, members, tried)
 	if !found {
 		return applier.Member{}, encoder.NoOwner
 	}
