router: error answers of one server are tried at another

A repeatable request of an unkeyed service that a server answered with 500 went to the caller as it was, although other servers were healthy; only 503 was sent again. Until every entry had seen enough failures to eject the server, each of them was a failed request. A shed request without budget lost the server's answer and was reported as unknown (504). Error answers counted as successes in the retry budget and so paid for retries.

Now 500, 502, 503 and 504 are tried at up to two other members within the budget, and the last answer goes to the caller when no retry is allowed. More members are not tried, since a request that fails at three is probably at fault itself and would use up the budget of the others. Non-repeatable requests and keyed services are as before. Retries and refused retries are counted by cause. TestErrorAnswers fails without the change.

--- a/daemon/choose.go
+++ b/daemon/choose.go
@@ -214,7 +214,7 @@
 	switch {
 	case r.Outcome == encoder.Answered && r.Status == http.StatusServiceUnavailable, r.Reason == encoder.Overloaded:
 		return balancer.Shed
-	case r.Outcome == encoder.Answered && r.Status < http.StatusInternalServerError:
+	case r.Outcome == encoder.Answered && !r.Failed():
 		return balancer.Success
 	case r.Reason == encoder.DeadlineExceeded:
 		return balancer.Timeout
--- a/encoder/message.go
+++ b/encoder/message.go
@@ -1,6 +1,7 @@
 package encoder
 
 import (
+	"net/http"
 	"time"
 
 	"hibiscusline/applier"
@@ -104,6 +105,19 @@
 	Crashes []applier.CrashMark `cbor:"10,keyasint,omitempty"`
 }
 
+// Failed reports whether a backend server answered that it shed the request or couldn't carry it out for a reason of its
+// own.
+func (r Response) Failed() bool {
+	if r.Outcome != Answered {
+		return false
+	}
+	switch r.Status {
+	case http.StatusInternalServerError, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return true
+	}
+	return false
+}
+
 // Load is a process's first-hand view of the backend server beside it.
 type Load struct {
 	Running int `cbor:"1,keyasint" json:"running"`
--- a/router/forward.go
+++ b/router/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -39,9 +40,9 @@
 			response, body = rt.attempt(ctx, c, m)
 		}
 		if attempt == 0 {
-			rt.config.Budget.Observe(response.Outcome == encoder.Answered)
+			rt.config.Budget.Observe(response.Outcome == encoder.Answered && !response.Failed())
 		}
-		if response.Outcome == encoder.Answered && !retriableAnswer(c, response) {
+		if response.Outcome == encoder.Answered && !(retriableAnswer(c, response, attempt) && rt.mayRetry(ctx, c, response, sent)) {
 			return response, body
 		}
 		if body != nil {
@@ -53,7 +54,7 @@
 		if sent && !c.head.Keyed {
 			tried = append(tried, m.ID)
 		}
-		if !rt.mayRetry(ctx, c, response, sent) || !rt.pause(ctx, response, attempt, changed) {
+		if response.Outcome != encoder.Answered && !rt.mayRetry(ctx, c, response, sent) || !rt.pause(ctx, response, attempt, changed) {
 			return settle(response, uncertain), nil
 		}
 	}
@@ -72,9 +73,14 @@
 	_ = body.Close()
 }
 
-// retriableAnswer reports whether a backend server's answer says that it shed the request.
-func retriableAnswer(c *call, r encoder.Response) bool {
-	return c.repeatable && r.Status == http.StatusServiceUnavailable && !c.head.Keyed && !r.Replayed
+// maxFailedAnswers bounds the members that one request is sent to after error answers. A request that fails at so many is
+// probably at fault itself, and must not use up the budget of the others.
+const maxFailedAnswers = 3
+
+// retriableAnswer reports whether a backend server's answer says that it shed or failed the request, and whether another
+// one may do better. The owner of a key is the only one that may run its requests.
+func retriableAnswer(c *call, r encoder.Response, attempt int) bool {
+	return c.repeatable && r.Failed() && !c.head.Keyed && !r.Replayed && attempt+1 < maxFailedAnswers
 }
 
 func (rt *Router) mayRetry(ctx context.Context, c *call, r encoder.Response, sent bool) bool {
@@ -85,16 +91,35 @@
 	case encoder.NotRun:
 		if r.Reason == encoder.Overloaded && sent && !c.head.Keyed {
 			// Another member may have room. The budget keeps a flood from multiplying.
-			return rt.config.Budget.Retry()
+			return rt.takeRetry(causeOf(r))
 		}
 		return r.Reason.Transient()
 	case encoder.Unknown, encoder.Answered:
 		c.head.Crashes = append(c.head.Crashes, r.Crashes...)
-		return c.repeatable && sent && rt.config.Budget.Retry()
+		return c.repeatable && sent && rt.takeRetry(causeOf(r))
 	}
 	return false
 }
 
+// takeRetry takes a retry from the budget and counts it, or its refusal.
+func (rt *Router) takeRetry(cause string) bool {
+	allowed := rt.config.Budget.Retry()
+	name := "hibiscus_entry_retries_total"
+	if !allowed {
+		name = "hibiscus_entry_retries_refused_total"
+	}
+	rt.config.Metrics.GetOrCreateCounter(name + `{cause="` + cause + `"}`).Inc()
+	return allowed
+}
+
+// causeOf names the cause of a retry.
+func causeOf(r encoder.Response) string {
+	if r.Outcome == encoder.Answered {
+		return "status_" + strconv.Itoa(r.Status)
+	}
+	return r.Reason.String()
+}
+
 // pause waits for the next attempt: until the state changes where that can help, and for the back-off at most. It
 // reports false when the call's time is over.
 func (rt *Router) pause(ctx context.Context, r encoder.Response, attempt int, changed <-chan struct{}) bool {
--- a/router/forward_test.go
+++ b/router/forward_test.go
@@ -124,3 +124,65 @@
 		})
 	}
 }
+
+// countedBudget allows some retries and counts the first tries that succeeded.
+type countedBudget struct{ retries, successes int }
+
+func (b *countedBudget) Observe(success bool) {
+	if success {
+		b.successes++
+	}
+}
+
+func (b *countedBudget) Retry() bool {
+	b.retries--
+	return b.retries >= 0
+}
+
+// TestErrorAnswers guards against a caller that gets the error answer of one failing server while others are healthy,
+// against error answers that are lost or replaced when no retry is allowed, and against failures that pay for retries.
+func TestErrorAnswers(t *testing.T) {
+	answer := func(status int) encoder.Response {
+		return encoder.Response{Outcome: encoder.Answered, Status: status, Length: 4}
+	}
+	for _, c := range []struct {
+		name, service, method string
+		retries               int
+		answers               []int
+		status, successes     int
+	}{
+		{"another member", "archive", "GET", 1, []int{500, 200}, 200, 0},
+		{"no budget", "archive", "GET", 0, []int{500}, 500, 0},
+		{"shed without budget", "archive", "GET", 0, []int{503}, 503, 0},
+		{"all fail", "archive", "GET", 1, []int{502, 504}, 504, 0},
+		{"the request's own fault", "archive", "GET", 1, []int{404}, 404, 1},
+		{"not supported", "archive", "GET", 1, []int{501}, 501, 1},
+		{"not repeatable", "archive", "POST", 1, []int{500}, 500, 0},
+		{"one owner", "desk", "GET", 1, []int{500}, 500, 0},
+		{"good", "archive", "GET", 1, []int{200}, 200, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s, b := &script{}, &countedBudget{retries: c.retries}
+			for _, status := range c.answers {
+				s.answers = append(s.answers, answer(status))
+			}
+			rt := New(Config{
+				State: testState(t), Exchanger: s, Chooser: firstUntried{}, Budget: b,
+				Backoff: func(int) time.Duration { return time.Millisecond }, DefaultTimeout: 10 * time.Second,
+				Parents: func(string) (Parent, bool) { return Parent{}, false }, Metrics: metrics.NewSet(),
+			})
+			request := httptest.NewRequestWithContext(t.Context(), c.method, "/items", nil)
+			request.Header.Set(HeaderService, c.service)
+			if c.service == "desk" {
+				request.Header.Set(HeaderKey, "bolt-1")
+			}
+			response := httptest.NewRecorder()
+			rt.ServeHTTP(response, request)
+			require.Equal(t, encoder.Answered.String(), response.Header().Get(HeaderOutcome))
+			require.Equal(t, c.status, response.Code)
+			require.Equal(t, "done", response.Body.String())
+			require.Len(t, s.members, len(c.answers))
+			require.Equal(t, c.successes, b.successes)
+		})
+	}
+}
