router: the baseline without a retry budget has no bound on error answers; a late retry has a reason

A baseline must not have part of the policy. The bound is now a field of the configuration, and that baseline has none.

It is now reported with `deadline_exceeded` (TestRetryTooLate).

--- a/daemon/choose.go
+++ b/daemon/choose.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -43,6 +44,14 @@
 	return newBudget()
 }
 
+// maxFailedAnswers returns the bound on error answers of a request; the baseline without a retry budget has none.
+func maxFailedAnswers(b loader.BaselineSettings) int {
+	if b.UnlimitedRetries {
+		return math.MaxInt
+	}
+	return 0
+}
+
 // admissionPolicy returns the policy that the settings name; the loader has checked the name.
 func admissionPolicy(name string) admitter.Policy {
 	switch name {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -106,7 +106,8 @@
 	d.router = router.New(router.Config{
 		State: d.state, Exchanger: (*exchanger)(d), Chooser: members, Budget: budgetFor(c.Settings.Baseline),
 		Backoff: newBackoff(), Parents: d.parent, DefaultTimeout: c.Settings.Limits.DefaultTimeout,
-		ReplayLimit: c.Settings.Limits.ReplayLimit, MaxHeaderBytes: c.Settings.Limits.MaxHeaderBytes, Metrics: d.metrics,
+		MaxFailedAnswers: maxFailedAnswers(c.Settings.Baseline),
+		ReplayLimit:      c.Settings.Limits.ReplayLimit, MaxHeaderBytes: c.Settings.Limits.MaxHeaderBytes, Metrics: d.metrics,
 	})
 	return d
 }
--- a/router/forward.go
+++ b/router/forward.go
@@ -42,7 +42,7 @@
 		if attempt == 0 {
 			rt.config.Budget.Observe(response.Outcome == encoder.Answered && !response.Failed())
 		}
-		if response.Outcome == encoder.Answered && !(retriableAnswer(c, response, attempt) && rt.mayRetry(ctx, c, response, sent)) {
+		if response.Outcome == encoder.Answered && !(rt.retriableAnswer(c, response, attempt) && rt.mayRetry(ctx, c, response, sent)) {
 			return response, body
 		}
 		if body != nil {
@@ -60,8 +60,12 @@
 	}
 }
 
-// settle makes sure that a call with an uncertain attempt is never reported as not run.
+// settle makes sure that a call with an uncertain attempt is never reported as not run. An answer whose body was given up
+// for a retry that came too late is not there any more.
 func settle(r encoder.Response, uncertain bool) encoder.Response {
+	if r.Outcome == encoder.Answered {
+		return encoder.Response{Outcome: encoder.Unknown, Reason: encoder.DeadlineExceeded}
+	}
 	if uncertain {
 		r.Outcome = encoder.Unknown
 	}
@@ -73,14 +77,10 @@
 	_ = body.Close()
 }
 
-// maxFailedAnswers bounds the members that one request is sent to after error answers. A request that fails at so many is
-// probably at fault itself, and must not use up the budget of the others.
-const maxFailedAnswers = 3
-
 // retriableAnswer reports whether a backend server's answer says that it shed or failed the request, and whether another
 // one may do better. The owner of a key is the only one that may run its requests.
-func retriableAnswer(c *call, r encoder.Response, attempt int) bool {
-	return c.repeatable && r.Failed() && !c.head.Keyed && !r.Replayed && attempt+1 < maxFailedAnswers
+func (rt *Router) retriableAnswer(c *call, r encoder.Response, attempt int) bool {
+	return c.repeatable && r.Failed() && !c.head.Keyed && !r.Replayed && attempt+1 < rt.config.MaxFailedAnswers
 }
 
 func (rt *Router) mayRetry(ctx context.Context, c *call, r encoder.Response, sent bool) bool {
--- a/router/forward_test.go
+++ b/router/forward_test.go
@@ -186,3 +186,19 @@
 		})
 	}
 }
+
+// TestRetryTooLate guards against an answer without reason when the deadline passes before the retry of an error answer.
+func TestRetryTooLate(t *testing.T) {
+	s := &script{answers: []encoder.Response{{Outcome: encoder.Answered, Status: http.StatusInternalServerError, Length: 4}}}
+	rt := New(Config{
+		State: testState(t), Exchanger: s, Chooser: firstUntried{}, Budget: noLimit{},
+		Backoff: func(int) time.Duration { return time.Minute }, DefaultTimeout: 100 * time.Millisecond,
+		Parents: func(string) (Parent, bool) { return Parent{}, false }, Metrics: metrics.NewSet(),
+	})
+	request := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/items", nil)
+	request.Header.Set(HeaderService, "archive")
+	response := httptest.NewRecorder()
+	rt.ServeHTTP(response, request)
+	require.Equal(t, encoder.Unknown.String(), response.Header().Get(HeaderOutcome))
+	require.Equal(t, encoder.DeadlineExceeded.String(), response.Header().Get(HeaderReason))
+}
--- a/router/router.go
+++ b/router/router.go
@@ -57,11 +57,18 @@
 	DefaultTimeout time.Duration
 	// ReplayLimit is the largest body that can be sent again, in bytes.
 	ReplayLimit int
+	// MaxFailedAnswers bounds the members that a request without key is sent to after error answers. Zero is
+	// DefaultMaxFailedAnswers.
+	MaxFailedAnswers int
 	// MaxHeaderBytes bounds the request target and the headers, in bytes. Zero is no bound.
 	MaxHeaderBytes int
 	Metrics        *metrics.Set
 }
 
+// DefaultMaxFailedAnswers is the number of members after which a request that fails is probably at fault itself. More must
+// not be sent, or it would use up the retry budget of the others.
+const DefaultMaxFailedAnswers = 3
+
 // Router is the HTTP handler for callers.
 type Router struct {
 	config  Config
@@ -73,6 +80,9 @@
 
 // New returns a router.
 func New(c Config) *Router {
+	if c.MaxFailedAnswers == 0 {
+		c.MaxFailedAnswers = DefaultMaxFailedAnswers
+	}
 	return &Router{config: c}
 }
 
