dispatcher, daemon: connections to a backend server stay within its announced number, probes included

TestConnectionLimit, with servers that announce 12 slots and 12 connections, failed before: servers refused connections. Calls could use all announced connections while the health probe needed one more, and every probe opened a new one, because the unread body of its answer kept the connection from being used again. A server at its limit refuses the probe, and two refused probes without another answer give the server up. A changed number of connections in an announcement was ignored.

One of the announced connections is now left for probes, slots without a connection are not used, the probe keeps its connection, and a changed announcement takes effect. A server that announces as many connections as slots runs one request less at once.

A refused connection looks like a server that fails the request: it is sent to another server within the retry budget if it is repeatable, and is unknown otherwise. Weighed and not done: taking a closed new connection for a server at its limit and using no more than the open connections until the next announcement. A server whose handler closes the connection of a bad request looks the same, and a caller with such requests would take its slots away.

--- a/daemon/local.go
+++ b/daemon/local.go
@@ -130,7 +130,7 @@
 	case current.server.Service != a.Service || current.server.Address != a.Address || current.server.Fenced != a.Fenced:
 		d.resign(current, "backend server changed")
 	default:
-		current.dispatcher.SetBackend(a.Address, a.Slots)
+		current.dispatcher.SetBackend(a.Address, a.Slots, a.Connections)
 	}
 }
 
@@ -178,7 +178,9 @@
 	if err != nil {
 		return false
 	}
-	// Only the fact of an answer counts: what health endpoints say lags or misleads.
+	// Only the fact of an answer counts: what health endpoints say lags or misleads. The body is read so that the next
+	// probe uses the same connection; a server at its connection limit would refuse a new one and be taken for lost.
+	_, _ = io.CopyN(io.Discard, response.Body, maxAnnouncement)
 	_ = response.Body.Close()
 	return true
 }
--- a/daemon/member.go
+++ b/daemon/member.go
@@ -82,7 +82,7 @@
 		Fetched: func(epoch applier.Offset) bool { _, done := n.fetched.Load(epoch); return done },
 	})
 	n.dispatcher.Observe(n.ranges.observe)
-	n.dispatcher.SetBackend(a.Address, a.Slots)
+	n.dispatcher.SetBackend(a.Address, a.Slots, a.Connections)
 	if !d.enter(n) {
 		return
 	}
--- a/dispatcher/backend.go
+++ b/dispatcher/backend.go
@@ -8,6 +8,7 @@
 	"net/http/httptrace"
 	"net/netip"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -28,22 +29,53 @@
 // crashProbeTimeout bounds the connection attempt that tells a crashed server from a broken connection.
 const crashProbeTimeout = 250 * time.Millisecond
 
+// reservedConnections are left for the health probe and the probe after a broken connection.
+const reservedConnections = 1
+
 // backend calls the backend server.
 type backend struct {
+	mu sync.Mutex
+	// client uses at most limit connections.
 	client *http.Client
+	limit  int
 	// lost is set after a failed connection and cleared by an announcement or a successful call.
 	lost atomic.Bool
 }
 
 func newBackend(connections int) *backend {
-	return &backend{client: &http.Client{
+	b := &backend{}
+	b.setLimit(connections)
+	return b
+}
+
+// setLimit sets the number of connections that the server announced, probes included. Calls in flight go on with the
+// connections that they have. It returns the number of calls that can run at once.
+func (b *backend) setLimit(connections int) int {
+	limit := max(connections-reservedConnections, 1)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if limit == b.limit {
+		return limit
+	}
+	if b.client != nil {
+		b.client.CloseIdleConnections()
+	}
+	b.limit = limit
+	b.client = &http.Client{
 		Transport: &http.Transport{
-			MaxConnsPerHost: connections, MaxIdleConnsPerHost: connections, IdleConnTimeout: time.Minute,
+			MaxConnsPerHost: limit, MaxIdleConnsPerHost: limit, IdleConnTimeout: time.Minute,
 			DisableCompression: true, ResponseHeaderTimeout: 0,
 			DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}}
+	}
+	return limit
+}
+
+func (b *backend) currentClient() *http.Client {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.client
 }
 
 // opaqueBody hides the type of a body. The HTTP client sends a request with an Idempotency-Key header again on its own
@@ -93,7 +125,7 @@
 		// are on one instance and share its clock.
 		request.Header.Set(HeaderDeadline, strconv.FormatInt(deadline.UnixMilli(), 10))
 	}
-	response, err := b.client.Do(request)
+	response, err := b.currentClient().Do(request)
 	return exchange{response: response, err: err, connected: connected.Load()}
 }
 
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -93,15 +93,16 @@
 // first request.
 func (d *Dispatcher) Observe(f func(p hasher.Position)) { d.observe = f }
 
-// SetBackend sets the address and the slots of the backend server. Zero slots refuse all requests.
-func (d *Dispatcher) SetBackend(address netip.AddrPort, slots int) {
+// SetBackend sets the address of the backend server, its slots and the largest number of connections to it. Zero slots
+// refuse all requests. A slot without a connection is not used, since its request would wait for one.
+func (d *Dispatcher) SetBackend(address netip.AddrPort, slots, connections int) {
 	d.mu.Lock()
 	d.address = address
 	d.mu.Unlock()
 	if slots > 0 {
 		d.backend.lost.Store(false)
 	}
-	d.gate.apply(admitter.Resize{Slots: slots})
+	d.gate.apply(admitter.Resize{Slots: min(slots, d.backend.setLimit(connections))})
 }
 
 // SetRanks replaces the ranks of the admission.
--- a/experimenter/balance.go
+++ b/experimenter/balance.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"time"
 
 	"hibiscusline/emulator"
@@ -11,18 +12,32 @@
 	"hibiscusline/validator"
 )
 
-const patternServiceTime = 40 * time.Millisecond
+const (
+	patternServiceTime = 40 * time.Millisecond
+	balanceParts       = 7
+)
 
 var _ = register(Experiment{
-	Name: "balance", Short: "choice between servers that mislead, fail, freeze and start cold", Duration: time.Minute,
+	Name: "balance", Short: "choice between servers that mislead, fail, freeze, start cold and are at their connection limit", Duration: time.Minute,
 	Run: scenario{
 		name: "balance", serviceTime: patternServiceTime, comparable: true,
 		baseline: loader.BaselineSettings{Chooser: "reported_load"},
 		services: func(c customer) []string { return []string{c.patterns} },
-		streams:  func(c customer, length time.Duration) []generator.Stream { return patternParts(c, length, 0.5, 6) },
-		script:   misleadChooser,
-		finish:   partFigures,
-		missed:   missedParts(0.97),
+		streams: func(c customer, length time.Duration) []generator.Stream {
+			return patternParts(c, length, 0.5, balanceParts)
+		},
+		script: misleadChooser,
+		finish: func(ctx context.Context, s *stage, r generator.Report) error {
+			s.set("connections_refused_when_occupied", s.connectionsRefused()-s.figures["connections_refused"])
+			return partFigures(ctx, s, r)
+		},
+		missed: func(r scenarioRun) []string {
+			missed := missedParts(0.97)(r)
+			if refused := r.Figures["connections_refused"]; refused > 0 {
+				missed = append(missed, fmt.Sprintf("servers refused %.0f connections beyond their limit, the target is 0", refused))
+			}
+			return missed
+		},
 	}.run,
 })
 
@@ -108,7 +123,7 @@
 
 func missedParts(target float64) func(scenarioRun) []string {
 	return func(r scenarioRun) (missed []string) {
-		for i := range 6 {
+		for i := range balanceParts {
 			name := fmt.Sprintf("part-%d_within_target", i)
 			if v := r.Figures[name]; v < target {
 				missed = append(missed, fmt.Sprintf("%s is %.3f, the target is %.2f", name, v, target))
@@ -119,7 +134,8 @@
 }
 
 // misleadChooser makes, one part after the other: nothing; all loads stale; one server slow that reports idle; one that
-// fails everything and looks healthy; one frozen; one cold.
+// fails everything and looks healthy; one frozen; one cold; one that started again after others took all but four of its
+// connections.
 func misleadChooser(ctx context.Context, s *stage) error {
 	nodes := s.nodes(s.customer.patterns)
 	healthy := func(b *emulator.ServerSettings) { *b = backend(patternServiceTime) }
@@ -159,9 +175,17 @@
 			nodes[0].Server.Crash()
 			return nil
 		},
+		func() error {
+			if err := nodes[0].Server.Change(healthy); err != nil {
+				return err
+			}
+			s.set("connections_refused", s.connectionsRefused())
+			nodes[1].Server.Crash()
+			return occupyRestarted(ctx, nodes[1].Server, s.customer.connections-freeConnections)
+		},
 	}
 	for i, step := range steps {
-		if !s.until(ctx, float64(i+1)/6) {
+		if !s.until(ctx, float64(i+1)/balanceParts) {
 			return nil
 		}
 		if err := step(); err != nil {
@@ -170,3 +194,40 @@
 	}
 	return nil
 }
+
+// freeConnections is what other clients leave of a server's connections.
+const freeConnections = 4
+
+// connectionsRefused counts the connections that servers refused because of their limit.
+func (s *stage) connectionsRefused() (sum float64) {
+	for _, n := range s.nodes(s.customer.patterns) {
+		sum += float64(n.Server.Counts().ConnectionsRefused)
+	}
+	return sum
+}
+
+// occupyRestarted opens connections to a server that crashed just now, as another client of it would, as soon as it listens
+// again, and keeps them until the context ends.
+func occupyRestarted(ctx context.Context, server *emulator.Server, count int) error {
+	const interval = time.Millisecond
+	for opened, down := 0, false; opened < count; {
+		connection, err := net.Dial("tcp", server.Address().String())
+		switch {
+		case err != nil:
+			down = true
+		case down:
+			opened++
+			context.AfterFunc(ctx, func() { _ = connection.Close() })
+			continue
+		default:
+			// The listener of the server's last life is still open.
+			_ = connection.Close()
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(interval):
+		}
+	}
+	return nil
+}
