--- a/daemon/member.go
+++ b/daemon/member.go
@@ -90,7 +90,7 @@
 		},
 	})
 	n.dispatcher.Observe(n.ranges.observe)
-	n.dispatcher.SetBackend(a.Address, a.Slots)
+	n.dispatcher.SetBackend(a.Address, a.Slots, a.Connections)
 	if !d.enter(n) {
 		return
 	}
--- a/router/forward.go
+++ b/router/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -39,9 +40,9 @@
 			response, body = rt.attempt(ctx, c, m)
 		}
 		if attempt == 0 {
-			rt.config.Budget.Observe(response.Outcome == encoder.Answered)
+			rt.config.Budget.Observe(response.Outcome == encoder.Answered && !response.Failed())
 		}
-		if response.Outcome == encoder.Answered && !retriableAnswer(c, response) {
+		if response.Outcome == encoder.Answered && !(rt.retriableAnswer(c, response, attempt) && rt.mayRetry(ctx, c, response, sent)) {
 			return response, body
 		}
 		if body != nil {
@@ -53,14 +54,18 @@
 		if sent && !c.head.Keyed {
 			tried = append(tried, m.ID)
 		}
-		if !rt.mayRetry(ctx, c, response, sent) || !rt.pause(ctx, response, attempt, changed) {
+		if response.Outcome != encoder.Answered && !rt.mayRetry(ctx, c, response, sent) || !rt.pause(ctx, response, attempt, changed) {
 			return settle(response, uncertain), nil
 		}
 	}
 }
 
-// settle makes sure that a call with an uncertain attempt is never reported as not run.
+// settle makes sure that a call with an uncertain attempt is never reported as not run. An answer whose body was given up
+// for a retry that came too late is not there any more.
 func settle(r encoder.Response, uncertain bool) encoder.Response {
+	if r.Outcome == encoder.Answered {
+		return encoder.Response{Outcome: encoder.Unknown, Reason: encoder.DeadlineExceeded}
+	}
 	if uncertain {
 		r.Outcome = encoder.Unknown
 	}
@@ -72,9 +77,10 @@
 	_ = body.Close()
 }
 
-// retriableAnswer reports whether a backend server's answer says that it shed the request.
-func retriableAnswer(c *call, r encoder.Response) bool {
-	return c.repeatable && r.Status == http.StatusServiceUnavailable && !c.head.Keyed && !r.Replayed
+// retriableAnswer reports whether a backend server's answer says that it shed or failed the request, and whether another
+// one may do better. The owner of a key is the only one that may run its requests.
+func (rt *Router) retriableAnswer(c *call, r encoder.Response, attempt int) bool {
+	return c.repeatable && r.Failed() && !c.head.Keyed && !r.Replayed && attempt+1 < rt.config.MaxFailedAnswers
 }
 
 func (rt *Router) mayRetry(ctx context.Context, c *call, r encoder.Response, sent bool) bool {
@@ -85,16 +91,35 @@
 	case encoder.NotRun:
 		if r.Reason == encoder.Overloaded && sent && !c.head.Keyed {
 			// Another member may have room. The budget keeps a flood from multiplying.
-			return rt.config.Budget.Retry()
+			return rt.takeRetry(causeOf(r))
 		}
 		return r.Reason.Transient()
 	case encoder.Unknown, encoder.Answered:
 		c.head.Crashes = append(c.head.Crashes, r.Crashes...)
-		return c.repeatable && sent && rt.config.Budget.Retry()
+		return c.repeatable && sent && rt.takeRetry(causeOf(r))
 	}
 	return false
 }
 
+// takeRetry takes a retry from the budget and counts it, or its refusal.
+func (rt *Router) takeRetry(cause string) bool {
+	allowed := rt.config.Budget.Retry()
+	name := "hibiscus_entry_retries_total"
+	if !allowed {
+		name = "hibiscus_entry_retries_refused_total"
+	}
+	rt.config.Metrics.GetOrCreateCounter(name + `{cause="` + cause + `"}`).Inc()
+	return allowed
+}
+
+// causeOf names the cause of a retry.
+func causeOf(r encoder.Response) string {
+	if r.Outcome == encoder.Answered {
+		return "status_" + strconv.Itoa(r.Status)
+	}
+	return r.Reason.String()
+}
+
 // pause waits for the next attempt: until the state changes where that can help, and for the back-off at most. It
 // reports false when the call's time is over.
 func (rt *Router) pause(ctx context.Context, r encoder.Response, attempt int, changed <-chan struct{}) bool {
@@ -131,14 +156,14 @@
 	ctx, release := rt.removed.watch(ctx, rt.config.State, m.ID)
 	started := time.Now()
 	if !c.head.Keyed {
-		rt.config.Chooser.Started(m.ID)
+		rt.config.Chooser.Started(c.head.Service, m.ID)
 	}
 	response, body := rt.config.Exchanger.Exchange(ctx, m, head, reader)
 	rt.hints.learn(m.ID, c.rank.Urgency, head.Remaining, response, time.Now())
 	done := func() {
 		release()
 		if !c.head.Keyed {
-			rt.config.Chooser.Finished(m.ID, response, time.Since(started))
+			rt.config.Chooser.Finished(c.head.Service, m.ID, response, time.Since(started))
 		}
 	}
 	if body == nil {
