--- a/daemon/log.go
+++ b/daemon/log.go
@@ -233,7 +233,7 @@
 
 // appendLease appends a record of the lease machine, and again while the log fails. The machine's own back-off is longer
 // than two seconds, so that the loss of a zone doesn't flood the log, but an owner that was lost in an outage of the log
-// must be replaced within two seconds of its return. Repetitions end when the machine has asked again.
+// must be replaced within two seconds of its return. Repetitions end after the machine's longest back-off, when it asks again.
 func (d *Daemon) appendLease(r applier.Record) {
 	const (
 		interval = 500 * time.Millisecond
