launcher: TestOneOwner waits for a non-repeatable request

Cause: one run reported no answered request of the stream of orders after an owner had been killed together with both guardians. Non-repeatable requests wait for all guardians of their owner, and those of ranges without any complete guardian are refused for the window; on a busy machine (load average 47) the test ended before one was answered.

Change: the test also demands that a non-repeatable request is answered after the faults, and ends its load only then.

Conclusion: stricter, and no longer dependent on how soon the faults end.

--- a/launcher/owner_test.go
+++ b/launcher/owner_test.go
@@ -94,12 +94,25 @@
 					return err == nil && status.Member != 0 && status.Lease.Held && !status.Lease.Exempt
 				})
 				w.awaitAnswer(old, service, key, nil)
+				w.awaitOnce(service)
 				w.judge(stop())
 			})
 		}
 	}
 }
 
+// awaitOnce waits until a non-repeatable request is answered. Those of ranges whose owner was lost with both guardians are
+// refused for the idempotency window; members whose guardian was lost refuse them until it is replaced.
+func (w *trial) awaitOnce(service string) {
+	w.Helper()
+	serial := 0
+	w.await("answer to a non-repeatable request", func() bool {
+		serial++
+		key := fmt.Sprintf("order-%d", serial%30)
+		return w.ask(w.ctx, w.other("", nil), service, key, "/echo", fmt.Sprintf("once-%d", serial)).answered()
+	})
+}
+
 // TestLiveOwnerKeepsServing guards against owners that stop because the log, or their way to it, is lost.
 func TestLiveOwnerKeepsServing(t *testing.T) {
 	faults := map[string]func(w *trial, n *Node){
