daemon: a lost announcement of a leaving server leaves it new work for at most 3 s

Cause: a backend server whose announcement that it drains never arrives was noticed only by 3 s of silence, which is the whole time after which it may get no new work. With the log down it got work for a further 2 s, since that limit counted from the notice. Its health report, which the emulated servers now give, was not read.

Ruled out: trusting the health report at all times. It may lag behind a more recent announcement that the server is active, so it counts only while announcements are overdue (1.2 s). One lost announcement is made up for after 2 s, so silence counts after 2.4 s.

The limit on new work counts from the last announcement.

--- a/daemon/local.go
+++ b/daemon/local.go
@@ -16,8 +16,14 @@
 )
 
 const (
-	// announceTimeout is the time without announcement after which a backend server counts as lost.
-	announceTimeout = 3 * time.Second
+	// announceTimeout is the time without announcement after which a backend server counts as leaving. One lost announcement
+	// is made up for after 2 s. The rest of the 3 s, after which a leaving server gets no new work, is for the next probe.
+	announceTimeout = 2400 * time.Millisecond
+	// announceOverdue is the time without announcement after which a health report that the server drains counts. A report
+	// that lags behind a more recent announcement does not.
+	announceOverdue = 1200 * time.Millisecond
+	// maxHealth bounds the part of a health report that is read, in bytes.
+	maxHealth = 4 << 10
 	// maxAnnouncement bounds the body of an announcement in bytes.
 	maxAnnouncement = 64 << 10
 	// maxSlots bounds slots and connections. One address has no more ports, so larger numbers can only be slips.
@@ -145,7 +151,7 @@
 		if at.IsZero() {
 			return
 		}
-		alive := probe(ctx, client, last.Address)
+		alive, drains := probe(ctx, client, last.Address)
 		d.mu.Lock()
 		n := d.current
 		if n != nil && timer.Now()-n.dispatcher.LastAnswer() < probeTimeout {
@@ -163,22 +169,37 @@
 		switch {
 		case failed >= maxFailedProbes:
 			d.giveUp(n, "backend server does not answer")
+		case drains && time.Since(at) > announceOverdue:
+			d.resignSince(n, at, "backend server reports that it drains")
 		case time.Since(at) > announceTimeout:
-			d.resign(n, "backend server stopped announcing itself")
+			d.resignSince(n, at, "backend server stopped announcing itself")
 		}
 	})
 }
 
-func probe(ctx context.Context, client *http.Client, address netip.AddrPort) bool {
+// resignSince resigns for a backend server that was last known not to leave at the given time, from which the limit on new
+// work counts.
+func (d *Daemon) resignSince(n *incarnation, active time.Time, why string) {
+	d.resignAfter(n, why, func(context.Context) { time.AfterFunc(leaveLimit-time.Since(active), n.dispatcher.Withdraw) })
+}
+
+// probe asks a backend server for its health. It reports whether there was an answer and whether that says that the server
+// drains. Nothing else of the answer counts, since health endpoints lag or mislead.
+func probe(ctx context.Context, client *http.Client, address netip.AddrPort) (alive, drains bool) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+"/health", nil)
 	if err != nil {
-		return false
+		return false, false
 	}
 	response, err := client.Do(request)
 	if err != nil {
-		return false
+		return false, false
+	}
+	defer response.Body.Close()
+	var health struct {
+		Status string `json:"status"`
+	}
+	if json.NewDecoder(io.LimitReader(response.Body, maxHealth)).Decode(&health) != nil {
+		return true, false
 	}
-	// Only the fact of an answer counts: what health endpoints say lags or misleads.
-	_ = response.Body.Close()
-	return true
+	return true, health.Status == "draining"
 }
--- a/emulator/serverhandler.go
+++ b/emulator/serverhandler.go
@@ -54,6 +54,12 @@
 	RequestID string  `json:"request_id"`
 }
 
+// Health is the JSON body of /health.
+type Health struct {
+	// Status is "ok" or "draining".
+	Status string `json:"status"`
+}
+
 // Load is the JSON body of /load.
 type Load struct {
 	InFlight    int     `json:"in_flight"`
@@ -74,7 +80,7 @@
 		s.Crash()
 		panic(http.ErrAbortHandler)
 	})
-	mux.HandleFunc("GET /health", s.probe(func() any { return map[string]string{"status": "ok"} }))
+	mux.HandleFunc("GET /health", s.probe(func() any { return s.reportHealth() }))
 	mux.HandleFunc("GET /load", s.probe(func() any { return s.reportLoad() }))
 	mux.HandleFunc("/", s.serveRequest)
 	return mux
@@ -106,6 +112,13 @@
 	}
 }
 
+func (s *Server) reportHealth() Health {
+	if settings := s.Settings(); settings.Draining && !settings.HealthLags {
+		return Health{Status: "draining"}
+	}
+	return Health{Status: "ok"}
+}
+
 func (s *Server) reportLoad() Load {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/emulator/serversettings.go
+++ b/emulator/serversettings.go
@@ -34,8 +34,10 @@
 	RestartTime validator.Duration `json:"restart_time"`
 	// Frozen makes the server accept connections and answer none, nor announce itself.
 	Frozen bool `json:"frozen"`
-	// Draining is announced; the server goes on answering what arrives.
+	// Draining is announced and reported by /health; the server goes on answering what arrives.
 	Draining bool `json:"draining"`
+	// HealthLags makes /health go on reporting success while the server drains.
+	HealthLags bool `json:"health_lags"`
 }
 
 func (s ServerSettings) check() error {
--- a/launcher/network.go
+++ b/launcher/network.go
@@ -10,10 +10,11 @@
 )
 
 // network is the part of a node's traffic that can be disturbed: a proxy in front of its QUIC address, which the process
-// advertises, and one between it and the log.
+// advertises, one between it and the log, and one between its backend server and its local endpoint.
 type network struct {
-	quic *disruptor.Proxy
-	log  *disruptor.Proxy
+	quic  *disruptor.Proxy
+	log   *disruptor.Proxy
+	local *disruptor.Proxy
 }
 
 // disturb puts proxies around a process that is about to start.
@@ -31,8 +32,12 @@
 	if err != nil {
 		return nil, errors.WithMessage(err, closeText(quic.Close()))
 	}
+	local, err := disruptor.New(disruptor.Config{Protocol: disruptor.TCP, Listen: loopback, Upstream: s.Local, Seed: seed})
+	if err != nil {
+		return nil, errors.WithMessage(err, closeText((&network{quic: quic, log: log}).close()))
+	}
 	s.Advertise, s.Log.Address = quic.Addr(), log.Addr()
-	return &network{quic: quic, log: log}, nil
+	return &network{quic: quic, log: log, local: local}, nil
 }
 
 func closeText(err error) string {
@@ -46,11 +51,16 @@
 	if w == nil {
 		return nil
 	}
-	quicErr := w.quic.Close()
-	if err := w.log.Close(); err != nil {
-		return err
+	var first error
+	for _, p := range []*disruptor.Proxy{w.quic, w.log, w.local} {
+		if p == nil {
+			continue
+		}
+		if err := p.Close(); err != nil && first == nil {
+			first = err
+		}
 	}
-	return quicErr
+	return first
 }
 
 // CutLog holds back all traffic between the process and the log, or ends that. It needs Config.Disturbed, like the
@@ -63,6 +73,17 @@
 	n.network.log.Set(disruptor.Downstream, t)
 }
 
+// CutAnnouncements holds back what the backend server announces to the process, or ends that.
+func (n *Node) CutAnnouncements(on bool) { n.network.local.Blackhole(on) }
+
+// announceTo returns the address to which the backend server announces itself.
+func (n *Node) announceTo() netip.AddrPort {
+	if n.network != nil {
+		return n.network.local.Addr()
+	}
+	return n.Settings.Local
+}
+
 // CutPeers drops what peers send to the process, and what it sends to them, or ends that.
 func (n *Node) CutPeers(toProcess, fromProcess bool) {
 	own := n.network.quic
--- a/launcher/node.go
+++ b/launcher/node.go
@@ -141,7 +141,7 @@
 	}
 	n.Server = emulator.NewServer(emulator.ServerConfig{
 		Service: service.Name, Name: n.Name, Slots: service.Slots, Connections: service.Connections,
-		Fenced: !service.Unfenced, Fence: fence, Ledger: f.Ledger, Router: n.Settings.Local,
+		Fenced: !service.Unfenced, Fence: fence, Ledger: f.Ledger, Router: n.announceTo(),
 		Seed: f.config.Seed + uint64(len(f.Nodes)), Settings: service.Settings,
 	})
 	ctx, cancel := context.WithCancel(f.context)
