leaser: tests of a guardian that attested, one without a lease, and one that was removed

Cause: with a guardian that renews a version after it attested it, one that renews while its own lease has lapsed, or one that counts a removed guardian as attested at once, TestNoTwoOwners still passed. Its faults cut a process from all others, so the owner never kept exactly one of its guardians.

Runs on scratch copies: without the first rule TestAttestedGuardianRenewsNoMore fails, without the second or the third one TestPartitionedGuardian fails, all with "two owners". With all rules, go test ./leaser passes. TestNoTwoOwners alone still passes without these three rules.

--- a/leaser/machine_test.go
+++ b/leaser/machine_test.go
@@ -67,7 +67,7 @@
 func (s *simulation) injectFault(t *rapid.T) {
 	p := s.processes[rapid.IntRange(0, len(s.processes)-1).Draw(t, "process")]
 	until := s.now + time.Duration(rapid.IntRange(1, 3000).Draw(t, "duration"))*time.Millisecond
-	switch rapid.SampledFrom([]string{"pause", "lag", "cut", "kill", "evict", "log", "stop", "all"}).Draw(t, "fault") {
+	switch rapid.SampledFrom([]string{"pause", "lag", "cut", "kill", "evict", "log", "stop", "all", "link", "partition"}).Draw(t, "fault") {
 	case "pause":
 		p.pausedUntil = until
 	case "lag":
@@ -88,6 +88,16 @@
 		for _, q := range s.processes {
 			q.cutUntil = until
 		}
+	case "link":
+		s.cutLink(p.id, s.processes[rapid.IntRange(0, len(s.processes)-1).Draw(t, "other")].id, until)
+	case "partition":
+		group := []applier.MemberID{p.id}
+		for _, q := range s.processes {
+			if rapid.Bool().Draw(t, "side") {
+				group = append(group, q.id)
+			}
+		}
+		s.partition(group, until)
 	}
 }
 
@@ -131,6 +141,49 @@
 	}
 }
 
+// requireNoUnsafeOwner fails when a member serves after its take-over.
+func (s *simulation) requireNoUnsafeOwner(t *testing.T, seed uint64) {
+	if p := s.unsafeOwner(); p != nil {
+		require.Fail(t, "two owners", "seed %d at %s: member %s serves after its take-over", seed, s.now, p.id)
+	}
+}
+
+// TestAttestedGuardianRenewsNoMore guards against a guardian that attested while it was cut from the owner and renews the
+// same version afterwards, while the other guardian attests too. The log is down, so that the owner can't replace them.
+func TestAttestedGuardianRenewsNoMore(t *testing.T) {
+	for seed := range uint64(30) {
+		s := calm(t, seed, 5)
+		check := func() { s.requireNoUnsafeOwner(t, seed) }
+		owner := s.processes[int(seed)%5]
+		guardians := s.truth.Members[owner.id].Guardians
+		const cut, gap = 1500 * time.Millisecond, 300 * time.Millisecond
+		s.logDownUntil = s.now + cut + gap
+		s.cutLink(owner.id, guardians[0], s.now+cut)
+		s.run(cut+gap, check)
+		// The owner gets no new record any more. Its first guardian hears it again, and its second one no more.
+		owner.lagUntil = s.now + 20*time.Second
+		for _, p := range s.processes {
+			if p != owner && p.id != guardians[0] {
+				s.cutLink(owner.id, p.id, s.now+20*time.Second)
+			}
+		}
+		s.run(20*time.Second, check)
+	}
+}
+
+// TestPartitionedGuardian guards against a guardian without a lease of its own that goes on renewing an owner in its part
+// of a partition, while the members in the other part take both over.
+func TestPartitionedGuardian(t *testing.T) {
+	for seed := range uint64(60) {
+		s := calm(t, seed, 7)
+		check := func() { s.requireNoUnsafeOwner(t, seed) }
+		owner := s.processes[int(seed)%7]
+		group := []applier.MemberID{owner.id, s.truth.Members[owner.id].Guardians[int(seed/7)%2]}
+		s.partition(group, s.now+20*time.Second)
+		s.run(25*time.Second, check)
+	}
+}
+
 // blockedByCycle returns the lost members that wait for one another's removal, which only an operator can resolve.
 func blockedByCycle(state *applier.State, lost []applier.MemberID) map[applier.MemberID]bool {
 	blocked := map[applier.MemberID]bool{}
--- a/leaser/simulation_test.go
+++ b/leaser/simulation_test.go
@@ -24,6 +24,8 @@
 	cutUntil    time.Duration
 	restartAt   time.Duration
 	leaveAt     time.Duration
+	// cutFrom holds until when messages between this process and another one are lost.
+	cutFrom map[applier.MemberID]time.Duration
 }
 
 type delivery struct {
@@ -68,6 +70,7 @@
 	*p = process{
 		id: s.nextID*0x9e37 + applier.MemberID(s.random.IntN(0x9000)), state: &applier.State{}, alive: true, zone: zone,
 		rate: 0.98 + 0.04*s.random.Float64(), offset: time.Duration(s.random.IntN(1_000_000)) * time.Millisecond,
+		cutFrom: map[applier.MemberID]time.Duration{},
 	}
 	p.machine = New(Config{Self: p.id})
 	s.append(applier.Join{Member: applier.Member{ID: p.id, Zone: fmt.Sprint(zone)}})
@@ -138,6 +141,28 @@
 	return s.processes[i]
 }
 
+// cutLink loses all messages between two processes for a time.
+func (s *simulation) cutLink(a, b applier.MemberID, until time.Duration) {
+	for from, to := range map[applier.MemberID]applier.MemberID{a: b, b: a} {
+		if p := s.find(to); p != nil {
+			p.cutFrom[from] = until
+		}
+	}
+}
+
+// partition cuts a group of processes from all others and from the log for a time.
+func (s *simulation) partition(group []applier.MemberID, until time.Duration) {
+	for _, p := range s.processes {
+		if slices.Contains(group, p.id) {
+			p.lagUntil = until
+			continue
+		}
+		for _, id := range group {
+			s.cutLink(p.id, id, until)
+		}
+	}
+}
+
 func (s *simulation) deliver() {
 	var due []delivery
 	s.deliveries = slices.DeleteFunc(s.deliveries, func(d delivery) bool {
@@ -150,7 +175,7 @@
 	})
 	for _, d := range due {
 		from, to := s.find(d.from), s.find(d.to)
-		cut := to == nil || !to.alive || s.now < to.cutUntil || (from != nil && s.now < from.cutUntil)
+		cut := to == nil || !to.alive || s.now < to.cutUntil || s.now < to.cutFrom[d.from] || (from != nil && s.now < from.cutUntil)
 		if cut {
 			continue
 		}
