applier: tests of take-overs without attestation and of a replaced version

Cause: with the fold's check of the attestations taken out, TestFoldInvariants still passed. It drew guardians that were mostly not present, so that hardly any member had some, and take-overs by none or all of them. A take-over of a guardian version that was replaced was not met either in 100 histories.

Change: guardians are drawn from the present members, take-overs by some of them occur, and a test has the replaced version.

Runs on scratch copies: without the check of the attestations TestFoldInvariants fails with 'a record made from another state is accepted'; without the check of the version TestTakeOverOfReplacedVersion fails. Both pass with the checks.

--- a/applier/fold_test.go
+++ b/applier/fold_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -77,24 +78,35 @@
 	return 0, nil
 }
 
+// candidates returns two members as guardians of another one. Any two are mostly not both present, and the fold then
+// rejects them, so that hardly any member had guardians.
+func (h *history) candidates(id MemberID) []MemberID {
+	present := slices.DeleteFunc(slices.Sorted(maps.Keys(h.state.Members)), func(g MemberID) bool { return g == id })
+	if len(present) < 2 || rapid.IntRange(0, 4).Draw(h.t, "any") == 0 {
+		return []MemberID{h.member(), h.member()}
+	}
+	first := rapid.IntRange(0, len(present)-2).Draw(h.t, "first guardian")
+	return present[first : first+2]
+}
+
 func (h *history) record() Record {
 	id, service := h.member(), h.service()
 	version, guardians := h.guardians(id)
 	switch rapid.SampledFrom([]Kind{
-		KindJoin, KindJoin, KindSetGuardians, KindDrain, KindLeave, KindTakeOver, KindTakeOver, KindMove, KindMove, KindSplit, KindMerge,
+		KindJoin, KindJoin, KindSetGuardians, KindSetGuardians, KindDrain, KindLeave, KindTakeOver, KindTakeOver, KindMove, KindMove, KindSplit, KindMerge,
 		KindEvict, KindPropose, KindApprove, KindReject, KindSuspect, KindSettle, KindSettle, KindReceive, KindReceive,
 	}).Draw(h.t, "kind") {
 	case KindJoin:
 		zone := rapid.SampledFrom([]string{"z1", "z2"}).Draw(h.t, "zone")
 		return Join{Member: Member{ID: id, Service: service, Zone: zone, Guardians: []MemberID{9}}}
 	case KindSetGuardians:
-		return SetGuardians{Member: id, Version: version, Guardians: []MemberID{h.member(), h.member()}}
+		return SetGuardians{Member: id, Version: version, Guardians: h.candidates(id)}
 	case KindDrain:
 		return Drain{Member: id}
 	case KindLeave:
 		return Leave{Member: id}
 	case KindTakeOver:
-		attested := rapid.IntRange(0, 1).Draw(h.t, "attested") * len(guardians)
+		attested := min(len(guardians), rapid.IntRange(0, 5).Draw(h.t, "attested"))
 		return TakeOver{Member: id, Version: version, AttestedBy: guardians[:attested]}
 	case KindMove:
 		r, owner := h.rangeOf(service)
--- a/applier/state_test.go
+++ b/applier/state_test.go
@@ -111,6 +111,21 @@
 	require.Equal(t, Offset(1), s.CheckpointAsOf)
 }
 
+// TestTakeOverOfReplacedVersion guards against a take-over that guardians attested for a version that the owner has replaced
+// since, which the same guardians may be renewing.
+func TestTakeOverOfReplacedVersion(t *testing.T) {
+	var s State
+	for i := range 3 {
+		s.Apply(Offset(i+1), Envelope{ID: fmt.Sprint(i), Record: Join{Member: Member{ID: MemberID(i + 1), Service: "stock"}}})
+	}
+	guardians := []MemberID{2, 3}
+	require.True(t, s.Apply(4, Envelope{ID: "first", Record: SetGuardians{Member: 1, Version: 1, Guardians: guardians}}).Accepted)
+	require.True(t, s.Apply(5, Envelope{ID: "again", Record: SetGuardians{Member: 1, Version: 4, Guardians: guardians}}).Accepted)
+	require.False(t, s.Apply(6, Envelope{ID: "late", Record: TakeOver{Member: 1, Version: 4, AttestedBy: guardians}}).Accepted)
+	require.Contains(t, s.Members, MemberID(1))
+	require.True(t, s.Apply(7, Envelope{ID: "due", Record: TakeOver{Member: 1, Version: 5, AttestedBy: guardians}}).Accepted)
+}
+
 // Guards against states that grow with the number or size of bad and pending proposals.
 func TestProposalsAreBounded(t *testing.T) {
 	var s State
