deduper: the property test follows the rule that every guardian acknowledges an intent

Change: an intent needs all acknowledgements, and one complete guardian of each lost owner is enough for the successor. The loss of the owner with one guardian and with both are steps of their own, since 100 histories rarely had them.

--- a/deduper/property_test.go
+++ b/deduper/property_test.go
@@ -74,14 +74,15 @@
 	}
 }
 
-// replicate records rows at every guardian that the owner reaches, and reports whether there is one.
+// replicate records rows at the guardians, and reports whether all of them have acknowledged.
 func (c *cluster) replicate(rows []Row) bool {
-	acknowledged := false
+	acknowledged := true
 	for _, g := range c.guardians {
-		if g.alive && g.reached {
-			require.NoError(c.t, g.store.Record(c.now(g), c.owner.id, rows))
-			acknowledged = true
+		if !g.alive || !g.reached {
+			acknowledged = false
+			continue
 		}
+		require.NoError(c.t, g.store.Record(c.now(g), c.owner.id, rows))
 	}
 	return acknowledged
 }
@@ -197,20 +198,43 @@
 	}
 }
 
-func (c *cluster) takeOver(*rapid.T) {
+// takeOver fetches the rows of all lost owners. One complete guardian of each is enough, since every intent waited for all.
+func (c *cluster) takeOver(t *rapid.T) {
 	c.lineage = append(c.lineage, predecessor{owner: c.owner.id, guardians: c.guardians})
 	c.newOwner()
 	for _, p := range c.lineage {
-		for _, g := range p.guardians {
-			rows, complete := g.store.Rows(c.now(g), p.owner, testService, hasher.Full())
-			if !g.alive || !complete {
-				c.owner.table.Block(c.now(c.owner), Block{Service: testService, Range: hasher.Full(), Remaining: testWindow})
-			}
-			if g.alive {
-				c.owner.table.Import(c.now(c.owner), rows)
+		complete := false
+		first := rapid.IntRange(0, 1).Draw(t, "first answer")
+		for _, g := range []*node{p.guardians[first], p.guardians[1-first]} {
+			if !g.alive || complete {
+				continue
 			}
+			var rows []Row
+			rows, complete = g.store.Rows(c.now(g), p.owner, testService, hasher.Full())
+			c.owner.table.Import(c.now(c.owner), rows)
 		}
+		if !complete {
+			c.owner.table.Block(c.now(c.owner), Block{Service: testService, Range: hasher.Full(), Remaining: testWindow})
+		}
+	}
+}
+
+// loseOne loses the owner with one guardian. The other one may have been out of reach when requests began.
+func (c *cluster) loseOne(t *rapid.T) {
+	c.guardians[rapid.IntRange(0, 1).Draw(t, "guardian")].alive = false
+	c.takeOver(t)
+}
+
+// loseAll loses the owner with the rows of its guardians: both are lost, or replaced and not yet complete.
+func (c *cluster) loseAll(t *rapid.T) {
+	for i, g := range c.guardians {
+		if rapid.Bool().Draw(t, "replaced") {
+			c.guardians[i] = c.newNode()
+			continue
+		}
+		g.alive = false
 	}
+	c.takeOver(t)
 }
 
 func (c *cluster) move(*rapid.T) {
@@ -237,9 +261,9 @@
 		c := &cluster{t: t, ran: map[string]time.Duration{}}
 		c.newOwner()
 		t.Repeat(map[string]func(*rapid.T){
-			"begin": c.begin, "begin again": c.begin, "finish": c.finish, "deliver": c.deliver, "advance": c.advance,
+			"begin": c.begin, "begin again": c.begin, "begin more": c.begin, "finish": c.finish, "deliver": c.deliver, "advance": c.advance,
 			"disturb guardian": c.disturbGuardian, "replace guardian": c.replaceGuardian, "synchronize": c.synchronize,
-			"take over": c.takeOver, "move": c.move,
+			"take over": c.takeOver, "lose one": c.loseOne, "lose all": c.loseAll, "move": c.move,
 		})
 	})
 }
