launcher: the test of a single guardian meets a present one; a key without owner is waited out

Cause: TestOneGuardianIsEnough passed in one of two runs without the attestation of all guardians, at a load average of 80: the owner had replaced the guardian before the cut. The search for a guarded key failed when a key had no owner for a moment, which happens while a fleet starts on a busy machine.

Change: three cuts, each from a guardian of that moment, and the search goes on.

--- a/launcher/owner_test.go
+++ b/launcher/owner_test.go
@@ -41,7 +41,7 @@
 	w.await("an owner outside of cycles of guards", func() bool {
 		for i := range 30 {
 			key = fmt.Sprintf("order-%d", i)
-			if n := w.owner(service, key); len(w.guardians(n)) == 2 && !w.cyclic(n) {
+			if n := w.findOwner(service, key); n != nil && len(w.guardians(n)) == 2 && !w.cyclic(n) {
 				return true
 			}
 		}
@@ -151,14 +151,18 @@
 	owner := w.owner(fenced, key)
 	before, err := owner.Status(w.ctx)
 	require.NoError(t, err)
-	guardians := w.guardians(owner)
-	owner.CutFrom(guardians[0], true)
-	entry := w.other("", append(guardians, owner)...)
-	// The time is several lease terms, so that a lapse shows.
-	for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		a := w.ask(w.ctx, entry, fenced, key, "/items", "")
-		require.True(w, a.answered(), "%+v", a)
-		require.Equal(w, owner.Name, a.server)
+	// Guardians are replaced by better ones at times, so the first cut may be from one that is none any more.
+	for range 3 {
+		guardians := w.guardians(owner)
+		owner.CutFrom(guardians[0], true)
+		entry := w.other("", append(guardians, owner)...)
+		// The time is two lease terms, so that a lapse shows.
+		for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+			a := w.ask(w.ctx, entry, fenced, key, "/items", "")
+			require.True(w, a.answered(), "%+v", a)
+			require.Equal(w, owner.Name, a.server)
+		}
+		owner.CutFrom(guardians[0], false)
 	}
 	w.state(func(s *applier.State) { require.Contains(w, s.Members, before.Member) })
 	w.judge()
--- a/launcher/trial_test.go
+++ b/launcher/trial_test.go
@@ -192,6 +192,13 @@
 
 // owner returns the process that owns a key, by the log.
 func (w *trial) owner(service, key string) *Node {
+	n := w.findOwner(service, key)
+	require.NotNil(w, n, "key %s has no owner", key)
+	return n
+}
+
+// findOwner returns the process that owns a key, by the log, or nil while the key has no owner.
+func (w *trial) findOwner(service, key string) *Node {
 	var name string
 	w.state(func(s *applier.State) {
 		if a, found := s.Lookup(service, hasher.KeyPosition(key)); found && s.Members[a.Owner] != nil {
@@ -199,7 +206,9 @@
 		}
 	})
 	i := slices.IndexFunc(w.Nodes, func(n *Node) bool { return n.Name == name })
-	require.GreaterOrEqual(w, i, 0, "key %s has no owner", key)
+	if i < 0 {
+		return nil
+	}
 	return w.Nodes[i]
 }
 
