leaser: test of a guardian that leaves and renews

Cause: the faults added to TestNoTwoOwners changed what its fixed seed draws, and it no longer failed with a guardian that goes on renewing after it has appended its Leave, as it had before. Change: TestLeavingGuardianRenewsNoMore has the sequence.

--- a/leaser/machine_test.go
+++ b/leaser/machine_test.go
@@ -184,6 +184,27 @@
 	}
 }
 
+// TestLeavingGuardianRenewsNoMore guards against a guardian that goes on renewing after it has appended its Leave, while the
+// other guardian counts it as removed. Neither the owner nor the leaving guardian reads the record.
+func TestLeavingGuardianRenewsNoMore(t *testing.T) {
+	for seed := range uint64(30) {
+		s := calm(t, seed, 7)
+		check := func() { s.requireNoUnsafeOwner(t, seed) }
+		owner := s.processes[int(seed)%7]
+		leaving := s.find(s.truth.Members[owner.id].Guardians[int(seed/7)%2])
+		end := s.now + 20*time.Second
+		owner.lagUntil, leaving.lagUntil = end, end
+		for _, p := range s.processes {
+			if p != owner && p != leaving {
+				s.cutLink(owner.id, p.id, end)
+			}
+		}
+		// By then the promise of the other guardian has lapsed, and the owner can't name others.
+		leaving.leaveAt = s.now + 1200*time.Millisecond
+		s.run(20*time.Second, check)
+	}
+}
+
 // blockedByCycle returns the lost members that wait for one another's removal, which only an operator can resolve.
 func blockedByCycle(state *applier.State, lost []applier.MemberID) map[applier.MemberID]bool {
 	blocked := map[applier.MemberID]bool{}
