--- a/launcher/trial_test.go
+++ b/launcher/trial_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -37,6 +38,9 @@
 	*Fleet
 	ctx context.Context
 
+	// timeout is that of callers, 3 s if zero.
+	timeout time.Duration
+
 	mu      sync.Mutex
 	refused []string
 	serial  int
@@ -128,7 +132,7 @@
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+entry.Settings.Listen.String()+path, body)
 	require.NoError(w, err)
 	request.Header.Set("Hibiscus-Service", service)
-	request.Header.Set("Hibiscus-Timeout-Ms", "3000")
+	request.Header.Set("Hibiscus-Timeout-Ms", fmt.Sprint(cmp.Or(w.timeout, 3*time.Second).Milliseconds()))
 	request.Header.Set("X-Request-Id", id)
 	if key != "" {
 		request.Header.Set("Hibiscus-Key", key)
@@ -190,17 +194,26 @@
 // were lost, as after a stall of the machine that is longer than their leases.
 func (w *trial) owner(service, key string) *Node {
 	w.Helper()
-	i := -1
+	var n *Node
 	w.await("owner of "+key, func() bool {
-		var name string
-		w.state(func(s *applier.State) {
-			if a, found := s.Lookup(service, hasher.KeyPosition(key)); found && s.Members[a.Owner] != nil {
-				name = s.Members[a.Owner].Name
-			}
-		})
-		i = slices.IndexFunc(w.Nodes, func(n *Node) bool { return n.Name == name })
-		return i >= 0
+		n = w.findOwner(service, key)
+		return n != nil
 	})
+	return n
+}
+
+// findOwner returns the process that owns a key, by the log, or nil while the key has no owner.
+func (w *trial) findOwner(service, key string) *Node {
+	var name string
+	w.state(func(s *applier.State) {
+		if a, found := s.Lookup(service, hasher.KeyPosition(key)); found && s.Members[a.Owner] != nil {
+			name = s.Members[a.Owner].Name
+		}
+	})
+	i := slices.IndexFunc(w.Nodes, func(n *Node) bool { return n.Name == name })
+	if i < 0 {
+		return nil
+	}
 	return w.Nodes[i]
 }
 
