balancer: hot keys are spread within seconds instead of half a minute

A range stayed 30 s with its owner, also after a new member got it as its share. The averages of 20 s showed a third of a new load after 8 s, so owners acted in small steps that used up their moves of a minute. One change a plan to one target made the rest slow.

Changes: a sketch starts a range's average anew when its load jumps by 4 standard deviations, and the longest average is 10 s. An overloaded owner looks twice and acts when the load exceeds the mean by more than the error of its measurement. It gives ranges to as many targets as it takes, and each target belongs to one overloaded owner. A range may move on after 3 s but doesn't return to an owner that it left for load within 30 s. A range that is too heavy is split at the key that explains it or at the median of its load; hot keys are not isolated otherwise. Splits and merges have a limit to themselves, of the same size as that of moves. Ranges that aren't settled are not moved.

--- a/balancer/fill.go
+++ b/balancer/fill.go
@@ -98,8 +98,10 @@
 }
 
 // givable lists the own ranges, those of average load first, so that a gift of some ranges carries its share of the load.
+// A range that isn't settled can't be moved yet, and would hold up the others of its move.
 func givable(v *view, loads Loads) []applier.Assignment {
-	own, sum := v.own(), 0.0
+	sum := 0.0
+	own := slices.DeleteFunc(v.own(), func(a applier.Assignment) bool { return len(a.Lineage) > 0 })
 	for _, a := range own {
 		sum += loads.Ranges[a.Range]
 	}
--- a/balancer/merge.go
+++ b/balancer/merge.go
@@ -29,7 +29,7 @@
 
 // reunite returns the next change that undoes a split, or nil: it merges two adjacent parts of an initial range, or moves
 // a part to the owner of the part beside it.
-func (p *Planner) reunite(now time.Duration, s *applier.State, v *view, loads Loads) Proposal {
+func (p *Planner) reunite(now time.Duration, s *applier.State, v *view, loads Loads, moves, merges int) Proposal {
 	initial := hasher.Divide(s.Configuration.Services[v.self.Service].InitialRanges)
 	if len(v.ranges) <= len(initial) {
 		return nil
@@ -53,8 +53,15 @@
 		if upper.Range.High > initial[block].High || !r.movable(lower) && !r.movable(upper) {
 			continue
 		}
-		if proposal := r.pair(lower, upper); proposal != nil {
-			return proposal
+		switch proposal := r.pair(lower, upper).(type) {
+		case MoveRanges:
+			if moves > 0 {
+				return proposal
+			}
+		case MergeRanges:
+			if merges > 0 {
+				return proposal
+			}
 		}
 	}
 	return nil
--- a/balancer/planner.go
+++ b/balancer/planner.go
@@ -13,10 +13,10 @@
 type PlannerConfig struct {
 	// DefaultMoves is the number of moves per minute for services without placement rule.
 	DefaultMoves int
-	// Residence is the time that a range stays with an owner before it may move for load.
+	// Residence is the time for which a range doesn't return to an owner that it left.
 	Residence time.Duration
-	// Settle is the time after a member got ranges in which it gets no more for load, because its reported load doesn't
-	// show them yet.
+	// Settle is the time after a member got ranges in which it gets no more for load and these don't move on, because neither
+	// its own measurements nor its reported load show them yet.
 	Settle time.Duration
 	// Static turns the changes for load off, as a baseline for measurements.
 	Static bool
@@ -26,15 +26,24 @@
 const (
 	DefaultMoves     = 6
 	DefaultResidence = 30 * time.Second
-	DefaultSettle    = 10 * time.Second
+	// DefaultSettle covers the next second's count of the new owner, one whole second of requests, and the report.
+	DefaultSettle = 3 * time.Second
 	// overloadRatio is the load relative to the mean from which an owner gives ranges away. It is below the aim of 1.15
 	// so that the measurement error of the rates doesn't keep an owner above the aim.
 	overloadRatio = 1.08
 	// leastImprovement is the least decrease of the higher of the two loads by a move, relative to the mean.
 	leastImprovement = 0.03
-	// hotShare is the share of its owner's load from which a key is isolated.
+	// fillRatio is the load relative to the mean down to which an owner gives ranges away, and up to which it fills targets.
+	fillRatio = 1.04
+	// certainty is the number of standard deviations by which an owner's load must exceed fillRatio. Without it, a new member
+	// used its moves of the first minute on the noise of its first two seconds.
+	certainty = 2
+	// patience is the number of plans for which an overloaded owner waits at most while its load rises. Moves by the first
+	// part of a jump have to be followed by others and used up the limit.
+	patience = 2
+	// hotShare is the share of its owner's load that two parts of a range may have together to be merged.
 	hotShare = 0.15
-	// warmShare is the share from which a key is isolated when no whole range can move with an improvement.
+	// warmShare is the share above which a key's load matters for the balance.
 	warmShare = 0.03
 	// maxRanges bounds the ranges of one move for load, so that the hand-over stays short.
 	maxRanges = 16
@@ -48,6 +57,9 @@
 	splitReserve = 64
 )
 
+// saltRecords is the number of records after which the members of a large service are grouped anew.
+const saltRecords = 256
+
 // MemberLoad is the load of another member as it reported it.
 type MemberLoad struct {
 	// Rate is in requests/s.
@@ -59,11 +71,22 @@
 type Loads struct {
 	// Ranges holds the rates of the own ranges, in requests/s.
 	Ranges map[hasher.Range]float64
+	// Deviation is the standard deviation of the sum of Ranges, in requests/s.
+	Deviation float64
 	// Keys holds the rates of the hottest own keys, highest first.
 	Keys    []KeyRate
 	Members map[applier.MemberID]MemberLoad
 }
 
+// Rate is the rate of all own ranges, in requests/s. Owners report it to each other, so that all of them compare loads that
+// were measured in the same way.
+func (l Loads) Rate() (sum float64) {
+	for _, rate := range l.Ranges {
+		sum += rate
+	}
+	return sum
+}
+
 // Proposal is a change that an owner should make. The types of this package that implement it are the only ones.
 type Proposal interface{ proposal() }
 
@@ -89,9 +112,13 @@
 	known map[applier.MemberID]bool
 	// epochs holds the time at which each epoch was first seen.
 	epochs map[applier.Offset]time.Duration
-	// moves holds the times of the proposals of the last minute.
-	moves []time.Duration
-	begun bool
+	// moves holds the times of the moves for load of the last minute, reshapes those of the splits and merges.
+	moves, reshapes []time.Duration
+	history         history
+	// overloaded counts the plans in a row that found the owner overloaded; rate is its load at the last of them.
+	overloaded int
+	rate       float64
+	begun      bool
 }
 
 // NewPlanner returns a Planner of one owner.
@@ -111,8 +138,9 @@
 }
 
 // Plan returns what the owner should do now. An owner outside the zones of the placement rule gives all ranges away.
-// Otherwise, moves that give a new member its fair share come first; they are followed by at most one change for load.
-// Each change for load counts against the placement rule's moves per minute, however many ranges it names. Moves for new
+// Otherwise, moves that give a new member its fair share come first; they are followed by changes for load.
+// Each move for load counts against the placement rule's moves per minute, however many ranges it names. Splits and merges
+// change no owner and have a limit of the same size to themselves. Moves for new
 // members and out of a zone don't count: there are no more of them than the change of members or of the rule demands, and
 // with a limit of one a new cluster of five members took minutes to spread. A limit of zero turns all of them off, so that
 // operators place new members by hand.
@@ -133,19 +161,32 @@
 	if proposals := p.place(s, v, loads); len(proposals) > 0 {
 		return proposals
 	}
-	p.moves = slices.DeleteFunc(p.moves, func(t time.Duration) bool { return now-t >= time.Minute })
-	if p.config.Static || len(p.moves) >= limit || !slices.Contains(v.members, v.self) {
+	old := func(t time.Duration) bool { return now-t >= time.Minute }
+	p.moves, p.reshapes = slices.DeleteFunc(p.moves, old), slices.DeleteFunc(p.reshapes, old)
+	if p.config.Static || !slices.Contains(v.members, v.self) {
 		return nil
 	}
-	proposal := p.relieve(now, v, loads)
-	if proposal == nil {
-		proposal = p.reunite(now, s, v, loads)
+	proposals := p.relieve(now, v, loads, limit-len(p.moves), limit-len(p.reshapes))
+	if len(proposals) == 0 {
+		// What reunites ranges may wait, so it leaves half of the limits to relief.
+		half := (limit + 1) / 2
+		if proposal := p.reunite(now, s, v, loads, half-len(p.moves), half-len(p.reshapes)); proposal != nil {
+			proposals = []Proposal{proposal}
+		}
 	}
-	if proposal == nil {
-		return nil
+	p.count(now, proposals)
+	return proposals
+}
+
+func (p *Planner) count(now time.Duration, proposals []Proposal) {
+	for _, proposal := range proposals {
+		switch proposal.(type) {
+		case MoveRanges:
+			p.moves = append(p.moves, now)
+		case SplitRange, MergeRanges:
+			p.reshapes = append(p.reshapes, now)
+		}
 	}
-	p.moves = append(p.moves, now)
-	return []Proposal{proposal}
 }
 
 // place returns the moves that the members and the placement rule demand whatever the load is.
@@ -174,13 +215,15 @@
 	ranges  []applier.Assignment
 	owned   map[applier.MemberID]int
 	bound   int // of ranges, for splits
+	// salt is the same for all owners and changes from time to time.
+	salt uint64
 }
 
 func newView(s *applier.State, self *applier.Member) *view {
 	service := s.Configuration.Services[self.Service]
 	v := &view{
 		self: self, ranges: s.Assignments[self.Service], owned: map[applier.MemberID]int{},
-		bound: splitFactor*service.InitialRanges + splitReserve,
+		bound: splitFactor*service.InitialRanges + splitReserve, salt: uint64(s.Applied) / saltRecords,
 	}
 	zones := s.Configuration.Placements[service.Placement].Zones
 	members := slices.DeleteFunc(s.MembersOf(self.Service), func(m *applier.Member) bool { return m.Status != applier.Active })
@@ -212,6 +255,7 @@
 		count := v.owned[m.ID]
 		known[m.ID] = count >= v.fair() || count > 0 && (settled || !met && 2*count >= v.fair())
 	}
+	p.history.update(now, p.config.Residence, v.ranges, p.known)
 	p.known = known
 	epochs := make(map[applier.Offset]time.Duration, len(p.epochs))
 	for _, a := range v.ranges {
--- a/balancer/sketch.go
+++ b/balancer/sketch.go
@@ -13,16 +13,21 @@
 // Defaults of a SketchConfig.
 const (
 	DefaultKeys   = 256
-	DefaultWindow = 20 * time.Second
+	DefaultWindow = 10 * time.Second
 	// decayInterval is the time between two decays of all counters.
 	decayInterval = time.Second
+	// keyShare is the part of the window that is the time constant of the rates of keys, which tell what became hot.
+	keyShare = 0.5
+	// jump is the number of standard deviations by which the last two intervals must differ from a range's average to
+	// start it anew. Among 40 ranges of equal load, it is exceeded by chance about once in ten minutes.
+	jump = 4
 )
 
 // SketchConfig configures a Sketch. Zero fields take the defaults.
 type SketchConfig struct {
 	// Keys is the number of keys that are counted at once.
 	Keys int
-	// Window is the time constant of the rates.
+	// Window is the longest time constant of the rates of ranges.
 	Window time.Duration
 }
 
@@ -34,6 +39,9 @@
 
 // Sketch counts the requests of an owner's keys with the space-saving algorithm and those of its ranges exactly. Counts
 // decay, so that rates follow the load. Memory is bounded by the configured keys and the owned ranges.
+//
+// The average of a range starts anew when its load jumps. With a fixed window of 20 s, a planner saw a third of a key's
+// new load after 8 s and acted on it in many small steps, which used up the moves of a minute.
 type Sketch struct {
 	config SketchConfig
 	keys   keyHeap
@@ -56,6 +64,10 @@
 	whole hasher.Range
 	count float64
 	since time.Duration
+	// fresh is the count since the last decay; last and previous are the rates of the two intervals before.
+	fresh, last, previous float64
+	// intervals is the number of whole intervals since the average started.
+	intervals int
 }
 
 // NewSketch returns a Sketch that starts to count at a time.
@@ -74,6 +86,7 @@
 	s.total++
 	if i, found := s.find(p); found {
 		s.ranges[i].count++
+		s.ranges[i].fresh++
 	}
 	if k, tracked := s.index[p]; tracked {
 		k.count++
@@ -94,24 +107,79 @@
 	heap.Fix(&s.keys, 0)
 }
 
-// Advance lets the counts decay up to a time. It should be called about once a second.
+// Advance lets the counts decay up to a time. It should be called about once a second, before SetRanges.
 func (s *Sketch) Advance(now time.Duration) {
 	span := now - s.now
-	if span < decayInterval {
+	if span < decayInterval/2 {
 		return
 	}
 	s.now = now
-	factor := math.Exp(-float64(span) / float64(s.config.Window))
+	factor := math.Exp(-float64(span) / float64(s.keyWindow()))
 	s.total *= factor
 	for _, k := range s.keys {
 		k.count *= factor
 		k.excess *= factor
 	}
+	factor = math.Exp(-float64(span) / float64(s.config.Window))
 	for i := range s.ranges {
 		s.ranges[i].count *= factor
+		s.follow(&s.ranges[i], span)
 	}
+	s.followAll(span)
 }
 
+// followAll starts the averages of all ranges anew when their sum jumps, as when the load of many keys rises a little.
+func (s *Sketch) followAll(span time.Duration) {
+	average, recent, last := 0.0, 0.0, 0.0
+	for _, r := range s.ranges {
+		average += s.rangeRate(r)
+		recent += (r.last + r.previous) / 2
+		last += r.last
+		if r.intervals < 2 {
+			// A range that was counted anew follows its load already.
+			recent += s.rangeRate(r) - (r.last+r.previous)/2
+			last += s.rangeRate(r) - r.last
+		}
+	}
+	if math.Abs(recent-average) <= jump*math.Sqrt(max(recent, average)/(2*span.Seconds())) {
+		return
+	}
+	rising := math.Abs(last-recent) > jump/2*math.Sqrt(max(last, recent)/span.Seconds())
+	for i := range s.ranges {
+		if s.ranges[i].intervals >= 2 {
+			s.restart(&s.ranges[i], span, rising)
+		}
+	}
+}
+
+// follow starts the average of a range anew when its last two intervals show a jump of the load. When the load was still
+// rising between them, only the last one counts.
+func (s *Sketch) follow(r *rangeCount, span time.Duration) {
+	r.previous, r.last, r.fresh = r.last, r.fresh/span.Seconds(), 0
+	r.intervals++
+	if r.intervals < 2 {
+		return
+	}
+	average := s.rangeRate(*r)
+	recent := (r.last + r.previous) / 2
+	if math.Abs(recent-average) <= jump*math.Sqrt(max(recent, average)/(2*span.Seconds())) {
+		return
+	}
+	s.restart(r, span, math.Abs(r.last-r.previous) > jump*math.Sqrt(max(r.last, r.previous)/span.Seconds()))
+}
+
+// restart starts the average of a range with its last interval, or its last two.
+func (s *Sketch) restart(r *rangeCount, span time.Duration, one bool) {
+	recent, seconds := (r.last+r.previous)/2, 2*span.Seconds()
+	if one {
+		recent, seconds = r.last, span.Seconds()
+	}
+	r.since = s.now - time.Duration(seconds*float64(time.Second))
+	r.count, r.intervals = recent*s.weight(r.since, s.config.Window), 0
+}
+
+func (s *Sketch) keyWindow() time.Duration { return time.Duration(keyShare * float64(s.config.Window)) }
+
 // SetRanges names the ranges that are counted exactly, which are the owned ones. Ranges that were counted before keep
 // their counts; a part of a split range starts with its known keys and its share of the rest.
 func (s *Sketch) SetRanges(owned []hasher.Range) {
@@ -128,12 +196,21 @@
 	if i >= len(old) || !old[i].whole.Contains(r.Low) || !old[i].whole.Contains(r.High) {
 		return rangeCount{whole: r, since: s.now}
 	}
-	parent := old[i]
-	if parent.whole == r {
-		return parent
+	part := old[i]
+	if part.whole == r {
+		return part
 	}
-	rest := max(parent.count-s.certain(parent.whole), 0)
-	return rangeCount{whole: r, since: parent.since, count: s.certain(r) + rest*width(r)/width(parent.whole)}
+	// The rates of keys and of ranges are averages over different times, so only rates can be compared.
+	whole := s.rangeRate(part)
+	if whole <= 0 {
+		return rangeCount{whole: r, since: part.since}
+	}
+	known := s.rate(s.certain(part.whole), s.begun, s.keyWindow())
+	own := s.rate(s.certain(r), s.begun, s.keyWindow()) + max(whole-known, 0)*width(r)/width(part.whole)
+	share := min(own/max(whole, known), 1)
+	part.whole = r
+	part.count, part.fresh, part.last, part.previous = part.count*share, part.fresh*share, part.last*share, part.previous*share
+	return part
 }
 
 // certain is the count of the tracked keys in a range.
@@ -158,7 +235,7 @@
 func (s *Sketch) Top(n int) []KeyRate {
 	top := make([]KeyRate, 0, len(s.keys))
 	for _, k := range s.keys {
-		top = append(top, KeyRate{Position: k.position, Rate: s.rate(k.count-k.excess, s.begun)})
+		top = append(top, KeyRate{Position: k.position, Rate: s.rate(k.count-k.excess, s.begun, s.keyWindow())})
 	}
 	slices.SortFunc(top, func(x, y KeyRate) int {
 		return cmp.Or(cmp.Compare(y.Rate, x.Rate), cmp.Compare(x.Position, y.Position))
@@ -167,32 +244,49 @@
 }
 
 // Rate returns the rate of all requests, in requests/s.
-func (s *Sketch) Rate() float64 { return s.rate(s.total, s.begun) }
+func (s *Sketch) Rate() float64 { return s.rate(s.total, s.begun, s.keyWindow()) }
 
 // RangeRate returns the rate of a range in requests/s. It is exact for the ranges of SetRanges; for others it is the rate
 // of the tracked keys and, for the untracked ones, a share by size.
 func (s *Sketch) RangeRate(r hasher.Range) float64 {
 	if i, found := s.find(r.Low); found && s.ranges[i].whole == r {
-		return s.rate(s.ranges[i].count, s.ranges[i].since)
+		return s.rangeRate(s.ranges[i])
 	}
 	rest := max(s.total-s.certain(hasher.Full()), 0)
-	return s.rate(s.certain(r)+rest*width(r)/width(hasher.Full()), s.begun)
+	return s.rate(s.certain(r)+rest*width(r)/width(hasher.Full()), s.begun, s.keyWindow())
+}
+
+func (s *Sketch) rangeRate(r rangeCount) float64 { return s.rate(r.count, r.since, s.config.Window) }
+
+// rate converts a decayed count to a rate.
+func (s *Sketch) rate(count float64, since, window time.Duration) float64 {
+	return count / s.weight(since, window)
 }
 
-// rate converts a decayed count to a rate. A count that began recently has not filled its window yet; spans below one
-// second count as one, since a few requests tell no rate.
-func (s *Sketch) rate(count float64, since time.Duration) float64 {
-	window := s.config.Window.Seconds()
+// weight is the decayed count of one request per second. A count that began recently has not filled its window yet; spans
+// below one second count as one, since a few requests tell no rate. Requests count as half a decay interval older than they
+// are, because a decay treats those since the last one like older ones.
+func (s *Sketch) weight(since, window time.Duration) float64 {
+	constant := window.Seconds()
 	age := max(s.now-since, decayInterval).Seconds()
-	return count / (window * (1 - math.Exp(-age/window)))
+	return constant * (1 - math.Exp(-age/constant)) * math.Exp(-decayInterval.Seconds()/2/constant)
+}
+
+// variance is the square of the standard deviation of a range's rate. A rate of zero counts as one request.
+func (s *Sketch) variance(r rangeCount) float64 {
+	seconds := min(max(s.now-r.since, decayInterval), 2*s.config.Window).Seconds()
+	return max(s.rangeRate(r), 1/seconds) / seconds
 }
 
 // Loads returns the rates of the owned ranges and of the hottest keys in the form that a Planner takes.
 func (s *Sketch) Loads(keys int) Loads {
 	l := Loads{Ranges: make(map[hasher.Range]float64, len(s.ranges)), Keys: s.Top(keys)}
+	variance := 0.0
 	for _, r := range s.ranges {
-		l.Ranges[r.whole] = s.rate(r.count, r.since)
+		l.Ranges[r.whole] = s.rangeRate(r)
+		variance += s.variance(r)
 	}
+	l.Deviation = math.Sqrt(variance)
 	return l
 }
 
