--- a/experimenter/hotkey.go
+++ b/experimenter/hotkey.go
@@ -24,7 +24,18 @@
 		name: "hotkey", serviceTime: keyServiceTime, comparable: true, baseline: loader.BaselineSettings{Static: true},
 		services: func(c customer) []string { return []string{c.stock} },
 		streams:  hotStreams,
-		script:   func(_ context.Context, s *stage) error { return s.remember() },
+		script: func(ctx context.Context, s *stage) error {
+			if err := s.remember(); err != nil {
+				return err
+			}
+			load := newAssignedLoad(s, hotStreams(s.customer, s.length))
+			if err := load.watch(ctx); err != nil {
+				return err
+			}
+			load.figures("first", 0, 0.5)
+			load.figures("second", 0.5, 1)
+			return nil
+		},
 		finish: func(ctx context.Context, s *stage, _ generator.Report) error {
 			s.imbalance()
 			return s.countMoves(ctx)
@@ -122,10 +133,20 @@
 	for i, part := range counts {
 		s.set(fmt.Sprintf("imbalance_%02d", i), maxOverMean(part, nodes))
 	}
+	// A server's count in a tenth of a short run differs by several percent from its load.
+	s.set("chance_end_of_first", chanceImbalance(len(nodes), total(counts[4])))
+	s.set("chance_end_of_second", chanceImbalance(len(nodes), total(counts[9])))
 	s.set("imbalance_end_of_first", maxOverMean(counts[4], nodes))
 	s.set("imbalance_end_of_second", maxOverMean(counts[9], nodes))
 }
 
+func total(counts map[string]float64) (sum float64) {
+	for _, count := range counts {
+		sum += count
+	}
+	return sum
+}
+
 func maxOverMean(counts map[string]float64, nodes []*launcher.Node) float64 {
 	highest, sum := 0.0, 0.0
 	for _, n := range nodes {
