--- a/leaser/guardian.go
+++ b/leaser/guardian.go
@@ -24,8 +24,8 @@
 	// caretaker is set while all guardians are removed and this process acts in their place.
 	caretaker bool
 	// rank delays the append, so that usually only one process appends.
-	rank        int
-	heard       map[applier.MemberID]applier.Offset
+	rank  int
+	heard map[applier.MemberID]applier.Offset
 	// announced is the highest version whose attestation the other guardians were told.
 	announced   applier.Offset
 	nextRequest time.Duration
