--- a/experimenter/faultavailability.go
+++ b/experimenter/faultavailability.go
@@ -122,7 +122,11 @@
 	}
 	worst := l.probe.worst(from, to).Milliseconds()
 	r.result.add(l.fault.Kind, l.probe.service, worst, r.lostWithGuardian(l.fault))
-	l.fault.Result += fmt.Sprintf(" %s/%s unavailable %d ms;", l.probe.service, l.probe.key, worst)
+	l.fault.Result += fmt.Sprintf(" %s/%s unavailable %d ms", l.probe.service, l.probe.key, worst)
+	if worst >= unavailableTarget.Milliseconds() {
+		l.fault.Result += r.watch.changesOf(l.probe.service, l.probe.key, l.fault.begin(), to)
+	}
+	l.fault.Result += ";"
 }
 
 // lostWithGuardian reports whether one of an owner's guardians was lost at about the same time.
@@ -156,13 +160,15 @@
 func (r *faultRun) judgeLive(f *fault) {
 	// A gap of two intervals and the time of a request is within the resolution.
 	const resolution = 2*probeInterval + 100*time.Millisecond
+	to := time.Duration(f.slot+1) * slotLength
 	var longest time.Duration
 	for _, p := range r.probes {
-		worst := p.worst(f.begin(), time.Duration(f.slot+1)*slotLength)
+		worst := p.worst(f.begin(), to)
 		longest = max(longest, worst)
 		if worst > resolution {
 			r.result.LiveUnavailableMs = max(r.result.LiveUnavailableMs, worst.Milliseconds())
-			f.Result += fmt.Sprintf(" %s/%s unavailable %d ms;", p.service, p.key, worst.Milliseconds())
+			changes := r.watch.changesOf(p.service, p.key, f.begin(), to)
+			f.Result += fmt.Sprintf(" %s/%s unavailable %d ms%s;", p.service, p.key, worst.Milliseconds(), changes)
 		}
 	}
 	f.Result += fmt.Sprintf(" keys of live owners: longest gap %d ms", longest.Milliseconds())
--- a/experimenter/faults.go
+++ b/experimenter/faults.go
@@ -223,16 +223,20 @@
 func (r *faultRun) run(ctx context.Context) error {
 	r.started = time.Now()
 	r.watch = newWatcher(r.fleet, r.started)
+	for _, service := range []string{fencedService, unfencedService} {
+		for i := range probedKeys {
+			r.probes = append(r.probes, &probe{service: service, key: fmt.Sprintf("probe-%d", i)})
+		}
+	}
+	for _, p := range r.probes {
+		r.watch.keys = append(r.watch.keys, watchedKey{p.service, p.key})
+	}
 	background, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var tasks sync.WaitGroup
 	tasks.Go(func() { r.watch.run(background) })
-	for _, service := range []string{fencedService, unfencedService} {
-		for i := range probedKeys {
-			p := &probe{service: service, key: fmt.Sprintf("probe-%d", i)}
-			r.probes = append(r.probes, p)
-			tasks.Go(func() { p.run(background, r.entry, r.started) })
-		}
+	for _, p := range r.probes {
+		tasks.Go(func() { p.run(background, r.entry, r.started) })
 	}
 	var report generator.Report
 	var loadErr error
@@ -283,6 +287,11 @@
 	out.ConfigLagMs, out.ConfigLagAt = lag.Milliseconds(), where
 	out.ConfigReverted += r.watch.reverted
 	out.AssignmentsLost, out.StatusesChecked = r.watch.lost, r.watch.checked
+	for _, n := range r.fleet.Nodes {
+		if !n.Running() {
+			out.Failures = append(out.Failures, fmt.Sprintf("process %s does not run at the end", n.Name))
+		}
+	}
 	for _, p := range r.probes {
 		// The fleet must be whole again at the end.
 		if p.worst(ended-time.Second, ended) >= time.Second {
--- a/experimenter/faultwatch.go
+++ b/experimenter/faultwatch.go
@@ -33,6 +33,19 @@
 	reverted int
 	lost     int
 	checked  int
+	// keys are those whose owners are followed, and changes the changes of their owners.
+	keys    []watchedKey
+	changes []ownerChange
+}
+
+type watchedKey struct{ service, key string }
+
+// ownerChange is a change of the owner of a watched key by a record, at a time since the start.
+type ownerChange struct {
+	key      watchedKey
+	kind     string
+	from, to applier.MemberID
+	at       time.Duration
 }
 
 type versionChange struct {
@@ -85,7 +98,13 @@
 		return
 	}
 	before := w.state.Version
+	owners := w.ownersOfKeys()
 	w.state.Apply(offset, e)
+	for i, to := range w.ownersOfKeys() {
+		if to != owners[i] {
+			w.changes = append(w.changes, ownerChange{w.keys[i], applier.KindOf(e.Record).String(), owners[i], to, time.Since(w.started)})
+		}
+	}
 	if w.state.Version != before {
 		w.versions = append(w.versions, versionChange{w.state.Version, time.Since(w.started), map[int]time.Duration{}})
 	}
@@ -98,6 +117,27 @@
 	w.history[offset] = at
 }
 
+func (w *watcher) ownersOfKeys() []applier.MemberID {
+	owners := make([]applier.MemberID, len(w.keys))
+	for i, k := range w.keys {
+		a, _ := w.state.Lookup(k.service, hasher.KeyPosition(k.key))
+		owners[i] = a.Owner
+	}
+	return owners
+}
+
+// changesOf describes the changes of a key's owner in a time.
+func (w *watcher) changesOf(service, key string, from, to time.Duration) (text string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, c := range w.changes {
+		if c.key == (watchedKey{service, key}) && c.at >= from && c.at < to {
+			text += fmt.Sprintf(" (%s from %s to %s at %d ms)", c.kind, c.from, c.to, c.at.Milliseconds())
+		}
+	}
+	return text
+}
+
 // ask asks every running process for its status.
 func (w *watcher) ask(ctx context.Context) {
 	var tasks sync.WaitGroup
