--- a/daemon/streams.go
+++ b/daemon/streams.go
@@ -106,6 +106,8 @@
 		return d.recordRows(m)
 	case encoder.RowsQuery:
 		return d.queryRows(m)
+	case encoder.Offer:
+		return d.considerOffer(m)
 	case encoder.Transfer:
 		return d.acceptTransfer(ctx, m)
 	}
@@ -212,7 +214,12 @@
 		stop()
 		return encoder.Response{Outcome: encoder.Unknown, Reason: encoder.PeerUnreachable}, nil
 	}
-	go sendBody(stream, body)
+	if head.Length == 0 {
+		// The owner has answered already when closing fails.
+		_ = stream.Close()
+	} else {
+		go sendBody(stream, body)
+	}
 	response, err := encoder.ReadAs[encoder.Response](stream)
 	if err != nil {
 		stop()
--- a/router/router.go
+++ b/router/router.go
@@ -23,10 +23,10 @@
 
 // Chooser picks a member for a request that has no key. Its methods are safe for concurrent use.
 type Chooser interface {
-	// Pick chooses among members; avoid lists those that were tried already.
-	Pick(members []applier.Member, avoid []applier.MemberID) (applier.MemberID, bool)
-	Started(id applier.MemberID)
-	Finished(id applier.MemberID, r encoder.Response, latency time.Duration)
+	// Pick chooses among all members of a service; tried lists those that were sent the request already.
+	Pick(service string, members []applier.Member, tried []applier.MemberID) (applier.MemberID, bool)
+	Started(service string, id applier.MemberID)
+	Finished(service string, id applier.MemberID, r encoder.Response, latency time.Duration)
 }
 
 // Budget limits retries. Its methods are safe for concurrent use.
@@ -57,11 +57,18 @@
 	DefaultTimeout time.Duration
 	// ReplayLimit is the largest body that can be sent again, in bytes.
 	ReplayLimit int
+	// MaxFailedAnswers bounds the members that a request without key is sent to after error answers. Zero is
+	// DefaultMaxFailedAnswers.
+	MaxFailedAnswers int
 	// MaxHeaderBytes bounds the request target and the headers, in bytes. Zero is no bound.
 	MaxHeaderBytes int
 	Metrics        *metrics.Set
 }
 
+// DefaultMaxFailedAnswers is the number of members after which a request that fails is probably at fault itself. More must
+// not be sent, or it would use up the retry budget of the others.
+const DefaultMaxFailedAnswers = 3
+
 // Router is the HTTP handler for callers.
 type Router struct {
 	config  Config
@@ -73,6 +80,9 @@
 
 // New returns a router.
 func New(c Config) *Router {
+	if c.MaxFailedAnswers == 0 {
+		c.MaxFailedAnswers = DefaultMaxFailedAnswers
+	}
 	return &Router{config: c}
 }
 
@@ -150,7 +160,7 @@
 		return rt.owner(c.head.Service, c.head.At)
 	}
 	members := rt.directory.active(rt.config.State, c.head.Service)
-	id, found := rt.config.Chooser.Pick(members, tried)
+	id, found := rt.config.Chooser.Pick(c.head.Service, members, tried)
 	if !found {
 		return applier.Member{}, encoder.NoOwner
 	}
