daemon: a process joins only when another member answers

A process that was cut off from its peers but not from the log read that it had been taken over and joined again. As the member with the fewest ranges it was given those of the next lost owner.

A process now asks up to three members, at other addresses than its own, and joins when one answers, or when the state has no other member. If all others are lost at once, they need an operator in any case, and it joins when they are evicted. A process that is cut off between its join and its first guardians can still hold ranges; that is some 100 ms.

Test: TestCutOffProcessGetsNoRanges failed before (no answer in 20 s) and passes now. All tests of launcher pass.

--- a/daemon/member.go
+++ b/daemon/member.go
@@ -113,6 +113,9 @@
 func (d *Daemon) commitJoin(n *incarnation) {
 	ctx, cancel := d.background()
 	defer cancel()
+	if !d.awaitPeer(ctx, n) {
+		return
+	}
 	result, err := d.commit(ctx, applier.Join{Member: applier.Member{
 		ID: n.id, Name: d.config.Settings.Name, Zone: d.config.Settings.Zone, Service: n.server.Service,
 		Address: d.address(), Admin: d.config.Settings.Admin, Slots: n.server.Slots, Fenced: n.server.Fenced,
--- a/launcher/owner_test.go
+++ b/launcher/owner_test.go
@@ -100,6 +100,42 @@
 	}
 }
 
+// TestCutOffProcessGetsNoRanges guards against ranges of a lost owner that go to a process that was taken over before, is
+// still cut off from its peers and reads in the log that it has to join again. Nobody could take them over from it.
+func TestCutOffProcessGetsNoRanges(t *testing.T) {
+	w := startTrial(t, 2*time.Millisecond, map[string]int{fenced: 4, unkeyed: 3})
+	const key = "order-1"
+	cut := w.owner(fenced, "order-2")
+	for i := 3; cut == w.owner(fenced, key); i++ {
+		cut = w.owner(fenced, fmt.Sprintf("order-%d", i))
+	}
+	cut.CutPeers(true, true)
+	w.await("take-over of the cut process", func() bool {
+		owns := false
+		w.state(func(s *applier.State) {
+			for _, m := range s.Members {
+				owns = owns || m.Name == cut.Name && len(s.Owned(m.ID)) > 0
+			}
+		})
+		return !owns
+	})
+	// The process has the time to read that it was removed.
+	time.Sleep(time.Second)
+	owner := w.owner(fenced, key)
+	require.NoError(t, owner.Kill())
+	w.awaitAnswer(w.other("", owner, cut), fenced, key, owner)
+	w.state(func(s *applier.State) {
+		for _, m := range s.Members {
+			require.False(t, m.Name == cut.Name && len(s.Owned(m.ID)) > 0, "a process that is cut off owns ranges")
+		}
+	})
+	cut.CutPeers(false, false)
+	w.await("return as a new member", func() bool {
+		status, err := cut.Status(w.ctx)
+		return err == nil && status.Member != 0 && status.Lease.Held
+	})
+}
+
 // TestLiveOwnerKeepsServing guards against owners that stop because the log, or their way to it, is lost.
 func TestLiveOwnerKeepsServing(t *testing.T) {
 	faults := map[string]func(w *trial, n *Node){
