balancer, router: a caller that leaves says nothing about the member

When a caller closed its connection, the attempt ended like one at an unreachable member: five such callers in a row ejected a healthy member, and at a frozen member every one of them was taken for a sign of life, so that it was not found out. Found while reading the path for hedging, not in an experiment.

Such an attempt now ends as abandoned, which changes neither the failures nor the latency nor the progress, and a probe that is abandoned is made again. TestAbandoned and TestCallerLeaves fail without the change. Not changed: a deadline that passes counts as a timeout of the member, whatever time the caller gave; callers with deadlines that can't be met can still eject up to a third of the members.

--- a/balancer/candidate.go
+++ b/balancer/candidate.go
@@ -24,12 +24,13 @@
 // Outcome is the end of one request.
 type Outcome uint8
 
-// Outcomes. Shed means that the member refused the request because it is busy.
+// Outcomes. Shed means that the member refused the request because it is busy, Abandoned that the caller left first.
 const (
-	Success Outcome = iota // success
-	Failure                // failure
-	Shed                   // shed
-	Timeout                // timeout
+	Success   Outcome = iota // success
+	Failure                  // failure
+	Shed                     // shed
+	Timeout                  // timeout
+	Abandoned                // abandoned
 )
 
 // MarshalText writes the outcome's name.
--- a/balancer/chooser_test.go
+++ b/balancer/chooser_test.go
@@ -151,6 +151,30 @@
 	require.Greater(t, servers[0].picked, 10000, "the member recovered and must get requests again")
 }
 
+// TestAbandoned guards against healthy members that are ejected because callers leave early, and against a frozen member
+// that looks alive because callers give up on it.
+func TestAbandoned(t *testing.T) {
+	servers, candidates := fleet(3)
+	c := NewChooser(ChooserConfig{Seed: 15})
+	runServers(c, servers, candidates, 5, func() {})
+	now := c.now
+	for range 200 {
+		now += time.Millisecond
+		id, _ := c.Pick(now, candidates, "a")
+		c.Started(id)
+		c.Finished(now, id, Abandoned, time.Millisecond)
+	}
+	require.Empty(t, c.ejected)
+	c.Started(2)
+	for range 300 {
+		now += 10 * time.Millisecond
+		c.Pick(now, candidates, "a")
+		c.Started(2)
+		c.Finished(now, 2, Abandoned, 10*time.Millisecond)
+	}
+	require.True(t, c.Ejected(2))
+}
+
 // TestTriedMembers guards against retries that go to a member that was tried, that serve as probes, or that shrink the
 // share of members that may be ejected.
 func TestTriedMembers(t *testing.T) {
@@ -260,7 +284,7 @@
 			require.Contains(t, candidates, all[id-1])
 			c.Started(id)
 			out := len(c.ejected)
-			c.Finished(now, id, Outcome(rapid.IntRange(0, 3).Draw(t, "outcome")), time.Millisecond)
+			c.Finished(now, id, Outcome(rapid.IntRange(0, 4).Draw(t, "outcome")), time.Millisecond)
 			require.True(t, len(c.ejected) <= out || len(c.ejected)*3 <= len(candidates))
 		}
 		_, one := fleet(1)
--- a/balancer/health.go
+++ b/balancer/health.go
@@ -61,7 +61,12 @@
 }
 
 func (h *health) record(now time.Duration, outcome Outcome, latency time.Duration) {
-	h.progress, h.seen = now, now
+	h.seen = now
+	if outcome == Abandoned {
+		// The member did nothing and is not to blame either.
+		return
+	}
+	h.progress = now
 	h.samples++
 	shed, failed := h.shedNow(now), 0.0
 	h.shedAt = now
@@ -249,6 +254,10 @@
 	if !h.probing || c.now-latency < h.probedAt {
 		return
 	}
+	if outcome == Abandoned {
+		h.probing = false
+		return
+	}
 	tooSlow := c.reference > 0 && latency > slowFactor*c.reference && latency > c.reference+slowMargin
 	if outcome == Failure || outcome == Timeout || outcome == Success && tooSlow {
 		c.extend(h)
--- a/balancer/names.go
+++ b/balancer/names.go
@@ -32,11 +32,12 @@
 	_ = x[Failure-1]
 	_ = x[Shed-2]
 	_ = x[Timeout-3]
+	_ = x[Abandoned-4]
 }
 
-const _Outcome_name = "successfailureshedtimeout"
+const _Outcome_name = "successfailureshedtimeoutabandoned"
 
-var _Outcome_index = [...]uint8{0, 7, 14, 18, 25}
+var _Outcome_index = [...]uint8{0, 7, 14, 18, 25, 34}
 
 func (i Outcome) String() string {
 	idx := int(i) - 0
--- a/daemon/choose.go
+++ b/daemon/choose.go
@@ -227,7 +227,9 @@
 		return balancer.Success
 	case r.Reason == encoder.DeadlineExceeded:
 		return balancer.Timeout
-	case r.Outcome == encoder.NotRun && (r.Reason == encoder.Poison || r.Reason == encoder.Cancelled):
+	case r.Reason == encoder.Cancelled:
+		return balancer.Abandoned
+	case r.Outcome == encoder.NotRun && r.Reason == encoder.Poison:
 		// The request is to blame, not the member.
 		return balancer.Success
 	}
--- a/router/forward.go
+++ b/router/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -153,6 +154,7 @@
 	if head.Remaining <= 0 {
 		return notRunYet(encoder.DeadlineExceeded), nil
 	}
+	caller := ctx
 	ctx, release := rt.removed.watch(ctx, rt.config.State, m.ID)
 	started := time.Now()
 	if !c.head.Keyed {
@@ -163,7 +165,12 @@
 	done := func() {
 		release()
 		if !c.head.Keyed {
-			rt.config.Chooser.Finished(c.head.Service, m.ID, response, time.Since(started))
+			result := response
+			if result.Outcome == encoder.Unknown && errors.Is(caller.Err(), context.Canceled) {
+				// The caller has left, which says nothing about the member.
+				result.Reason = encoder.Cancelled
+			}
+			rt.config.Chooser.Finished(c.head.Service, m.ID, result, time.Since(started))
 		}
 	}
 	if body == nil {
--- a/router/forward_test.go
+++ b/router/forward_test.go
@@ -202,3 +202,37 @@
 	require.Equal(t, encoder.Unknown.String(), response.Header().Get(HeaderOutcome))
 	require.Equal(t, encoder.DeadlineExceeded.String(), response.Header().Get(HeaderReason))
 }
+
+// leavingCaller is an Exchanger whose caller leaves while the member works.
+type leavingCaller struct{ leave func() }
+
+func (l leavingCaller) Exchange(ctx context.Context, _ applier.Member, _ encoder.Request, _ Body) (encoder.Response, ResponseBody) {
+	l.leave()
+	<-ctx.Done()
+	return encoder.Response{Outcome: encoder.Unknown, Reason: encoder.PeerUnreachable}, nil
+}
+
+// lastReason remembers what a chooser was told of the last attempt.
+type lastReason struct {
+	firstUntried
+	reason encoder.Reason
+}
+
+func (l *lastReason) Finished(_ string, _ applier.MemberID, r encoder.Response, _ time.Duration) {
+	l.reason = r.Reason
+}
+
+// TestCallerLeaves guards against members that are blamed for callers that leave.
+func TestCallerLeaves(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	chooser := &lastReason{}
+	rt := New(Config{
+		State: testState(t), Exchanger: leavingCaller{leave: cancel}, Chooser: chooser, Budget: noLimit{},
+		Backoff: func(int) time.Duration { return time.Millisecond }, DefaultTimeout: 10 * time.Second,
+		Parents: func(string) (Parent, bool) { return Parent{}, false }, Metrics: metrics.NewSet(),
+	})
+	request := httptest.NewRequestWithContext(ctx, http.MethodGet, "/items", nil)
+	request.Header.Set(HeaderService, "archive")
+	rt.ServeHTTP(httptest.NewRecorder(), request)
+	require.Equal(t, encoder.Cancelled, chooser.reason)
+}
