router: a second attempt after the p95 latency of the service (trial)

A repeatable request without body of an unkeyed service is sent to a second member when the first one has not answered after the p95 latency of the service, within the retry budget and while that latency is at most a quarter of the rank's target. The slower attempt is cancelled and says only that the member takes at least that long.

--- a/balancer/health.go
+++ b/balancer/health.go
@@ -63,7 +63,10 @@
 func (h *health) record(now time.Duration, outcome Outcome, latency time.Duration) {
 	h.seen = now
 	if outcome == Abandoned {
-		// The member did nothing and is not to blame either.
+		// The member is not to blame, but an answer would have taken at least as long.
+		if latency > h.latency {
+			h.latency += time.Duration(outcomeWeight * float64(latency-h.latency))
+		}
 		return
 	}
 	h.progress = now
--- a/router/router.go
+++ b/router/router.go
@@ -74,6 +74,7 @@
 	config  Config
 	hints   hints
 	removed removals
+	hedges  hedges
 	// directory lists the active members of each service.
 	directory directory
 }
