router: revert the second attempt after the p95 latency

The second attempts take the budget that the retries after overload need.

Open before it is tried again: a budget of its own, and `flood`, where the doubled work could cost goodput.

--- a/balancer/health.go
+++ b/balancer/health.go
@@ -63,10 +63,7 @@
 func (h *health) record(now time.Duration, outcome Outcome, latency time.Duration) {
 	h.seen = now
 	if outcome == Abandoned {
-		// The member is not to blame, but an answer would have taken at least as long.
-		if latency > h.latency {
-			h.latency += time.Duration(outcomeWeight * float64(latency-h.latency))
-		}
+		// The member did nothing and is not to blame either.
 		return
 	}
 	h.progress = now
--- a/router/forward.go
+++ b/router/forward.go
@@ -38,13 +38,7 @@
 		var body ResponseBody
 		sent := reason == encoder.NoReason
 		if sent {
-			if attempt == 0 && c.repeatable && !c.head.Keyed && c.head.Length == 0 {
-				var second []applier.MemberID
-				response, body, second = rt.hedged(ctx, c, m)
-				tried = append(tried, second...)
-			} else {
-				response, body = rt.attempt(ctx, c, m)
-			}
+			response, body = rt.attempt(ctx, c, m)
 		}
 		if attempt == 0 {
 			rt.config.Budget.Observe(response.Outcome == encoder.Answered && !response.Failed())
@@ -153,10 +147,6 @@
 	if !whole {
 		return notRunYet(encoder.RetriesExhausted), nil
 	}
-	if c.head.Length == 0 {
-		// Two attempts at once can't share one reader.
-		reader = http.NoBody
-	}
 	head := c.head
 	head.Remaining = time.Until(c.deadline)
 	head.Applied = rt.config.State.Applied()
--- a/router/router.go
+++ b/router/router.go
@@ -74,7 +74,6 @@
 	config  Config
 	hints   hints
 	removed removals
-	hedges  hedges
 	// directory lists the active members of each service.
 	directory directory
 }
