--- a/launcher/node.go
+++ b/launcher/node.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -86,48 +85,6 @@
 	return n, n.Start()
 }
 
-// Ports of processes lie below the range from which the system takes those of outgoing connections. A port of that range
-// could be taken again between the check and the start of the process.
-const (
-	firstPort = 12000
-	lastPort  = 32000
-)
-
-// taken holds the ports that were handed out in this process.
-var taken sync.Map
-
-// freeAddress returns a loopback address whose port is free for TCP and UDP.
-func freeAddress() (netip.AddrPort, error) {
-	const attempts = 100
-	var last error
-	for range attempts {
-		port := uint16(firstPort + rand.IntN(lastPort-firstPort))
-		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port)
-		if last = checkFree(address); last != nil {
-			continue
-		}
-		if _, handedOut := taken.LoadOrStore(port, true); !handedOut {
-			return address, nil
-		}
-	}
-	return netip.AddrPort{}, errors.Wrap(last, "find a free port")
-}
-
-func checkFree(address netip.AddrPort) error {
-	tcp, err := net.Listen("tcp", address.String())
-	if err != nil {
-		return err
-	}
-	udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
-	if err == nil {
-		err = udp.Close()
-	}
-	if closeErr := tcp.Close(); err == nil {
-		err = closeErr
-	}
-	return err
-}
-
 func (n *Node) startServer(service Service) error {
 	f := n.fleet
 	fence := f.fences[service.Name]
