launcher: tests wait for a guardian

Cause: a run of the whole package on a busy machine (load average 84) ended in a panic, because an owner had no guardian that was present at the moment of the test's fault.

Change: the faults wait until there is one.

Conclusion: setup only; what the tests demand is unchanged.

--- a/launcher/once_test.go
+++ b/launcher/once_test.go
@@ -24,7 +24,7 @@
 		"owner killed": func(w *trial, owner *Node, _ string) { require.NoError(w, owner.Kill()) },
 		"owner frozen": func(w *trial, owner *Node, _ string) { require.NoError(w, owner.Freeze()) },
 		"owner and guardian killed": func(w *trial, owner *Node, _ string) {
-			g := w.guardians(owner)[0]
+			g := w.guardian(owner)
 			require.NoError(w, owner.Kill())
 			require.NoError(w, g.Kill())
 		},
--- a/launcher/owner_test.go
+++ b/launcher/owner_test.go
@@ -50,6 +50,16 @@
 	return key
 }
 
+// guardian returns a process that guards another one. For a moment none may be left while they are replaced.
+func (w *trial) guardian(n *Node) *Node {
+	var guardians []*Node
+	w.await("a guardian of "+n.Name, func() bool {
+		guardians = w.guardians(n)
+		return len(guardians) > 0
+	})
+	return guardians[0]
+}
+
 // TestOneOwner guards against two owners of a key, and against keys that are left without one, while an owner is lost in
 // each way, under load and for servers that check grants and servers that don't.
 func TestOneOwner(t *testing.T) {
@@ -71,7 +81,7 @@
 		},
 		"with its guardian": {
 			func(w *trial, n *Node) {
-				g := w.guardians(n)[0]
+				g := w.guardian(n)
 				require.NoError(w, n.Kill())
 				require.NoError(w, g.Kill())
 			},
@@ -228,7 +238,7 @@
 		"log refuses":      func(w *trial, _ *Node) { w.logOutage(emulator.Refuse) },
 		"log hangs":        func(w *trial, _ *Node) { w.logOutage(emulator.Hang) },
 		"log down and guardian killed": func(w *trial, n *Node) {
-			g := w.guardians(n)[0]
+			g := w.guardian(n)
 			w.logOutage(emulator.Refuse)
 			require.NoError(w, g.Kill())
 		},
