transporter, daemon: a process that restarted at its address is reached at once

Four members offered ranges to a process that had been killed and had started again; each offer went on the connection of the killed process and timed out after 2 s, for 11 s, until a stateless reset arrived. The member that gave its ranges away tried the same target again and again.

Ruled out: the keys of the resets, which processes derive from their private keys; in a direct test the reset arrives at once, but costs the first message.

Change: a connection that the peer dials replaces an older one. When the state has a new member at a known address, the next message dials. Streams on the old connection go on. A hand-over avoids the targets that failed in the last round while there are others. Transporter.Drop, which nothing used, is gone.

--- a/balancer/evacuate.go
+++ b/balancer/evacuate.go
@@ -9,8 +9,9 @@
 
 // Evacuate returns the moves that spread all ranges of a member over the other members that may own them, one move for
 // each target and the most ranges first. It is for a member that stops, resigns or lies outside the zones of the
-// placement rule. It returns none when no other member may own ranges.
-func Evacuate(s *applier.State, self applier.MemberID) []MoveRanges {
+// placement rule. Members to avoid get ranges only when there are no others. It returns none when no other member may own
+// ranges.
+func Evacuate(s *applier.State, self applier.MemberID, avoid ...applier.MemberID) []MoveRanges {
 	member, present := s.Members[self]
 	if !present {
 		return nil
@@ -20,6 +21,10 @@
 	if len(targets) == 0 {
 		return nil
 	}
+	fit := slices.DeleteFunc(slices.Clone(targets), func(m *applier.Member) bool { return slices.Contains(avoid, m.ID) })
+	if len(fit) > 0 {
+		targets = fit
+	}
 	// Members that evacuate at the same time start with different targets among those with equally many ranges.
 	start := int(uint64(self) % uint64(len(targets)))
 	targets = slices.Concat(targets[start:], targets[:start])
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -44,6 +44,9 @@
 	transport *transporter.Transporter
 	router    *router.Router
 	started   time.Time
+	// addresses holds the member seen last at each address, as of addressesAt. One task uses them.
+	addresses   map[netip.AddrPort]applier.MemberID
+	addressesAt applier.Offset
 
 	// kicks wakes the task that reads the log.
 	kicks chan struct{}
--- a/daemon/member.go
+++ b/daemon/member.go
@@ -271,6 +271,7 @@
 	var version applier.Offset
 	for {
 		changed := d.state.Changed()
+		d.renewConnections()
 		if n := d.incarnation(); n != nil {
 			version = d.applyState(n, version)
 		}
@@ -283,6 +284,39 @@
 	}
 }
 
+// renewConnections makes the next message to a new member at a known address dial. The connection to the process before it
+// is dead, and what is sent on it is lost until a stateless reset arrives; in one run that took 11 s.
+func (d *Daemon) renewConnections() {
+	d.state.View(func(s *applier.State) {
+		changed := s.MembersChanged()
+		if d.addressesAt == changed {
+			return
+		}
+		known := d.addresses
+		d.addresses, d.addressesAt = make(map[netip.AddrPort]applier.MemberID, len(s.Members)), changed
+		for id, m := range s.Members {
+			// The process before may not have been removed yet.
+			if other := s.Members[d.addresses[m.Address]]; other == nil || other.Joined < m.Joined {
+				d.addresses[m.Address] = id
+			}
+		}
+		for address, id := range d.addresses {
+			if before, seen := known[address]; seen && before != id {
+				d.transport.Renew(address)
+			}
+		}
+		// An address stays known while no member uses it.
+		for address, id := range known {
+			if _, used := d.addresses[address]; !used && len(d.addresses) < maxAddresses {
+				d.addresses[address] = id
+			}
+		}
+	})
+}
+
+// maxAddresses bounds the memory for addresses that no member uses any more.
+const maxAddresses = 1 << 15
+
 // applyState tells the parts of an incarnation about the state and returns the configuration version in force.
 func (d *Daemon) applyState(n *incarnation, version applier.Offset) applier.Offset {
 	var actions []leaser.Action
--- a/daemon/move.go
+++ b/daemon/move.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -162,31 +163,34 @@
 	return nil
 }
 
-// handOver moves all ranges to other members, a group for each target. It returns when none is left, or when there is no
-// member to take them.
+// handOver moves all ranges to other members, a group for each target. A target to which a move failed is avoided the next
+// time. It returns when none is left, or when there is no member to take them.
 func (d *Daemon) handOver(ctx context.Context, n *incarnation) error {
 	const retry = 100 * time.Millisecond
+	var avoid []applier.MemberID
 	for {
 		var groups []balancer.MoveRanges
-		d.state.View(func(s *applier.State) { groups = balancer.Evacuate(s, n.id) })
+		d.state.View(func(s *applier.State) { groups = balancer.Evacuate(s, n.id, avoid...) })
 		if len(groups) == 0 {
 			if len(d.ownedRanges(n)) > 0 {
 				d.log("state", "no member can take the ranges", "member", n.id)
 			}
 			return nil
 		}
-		results := make(chan error, len(groups))
-		for _, g := range groups {
-			go func() { results <- d.move(ctx, n, g.Move.To, g.Move.Ranges) }()
+		errs := make([]error, len(groups))
+		var moves sync.WaitGroup
+		for i, g := range groups {
+			moves.Go(func() { errs[i] = d.move(ctx, n, g.Move.To, g.Move.Ranges) })
 		}
-		failed := false
-		for range groups {
-			if err := <-results; err != nil {
-				failed = true
-				d.log("state", "move failed", "member", n.id, "err", err)
+		moves.Wait()
+		avoid = nil
+		for i, err := range errs {
+			if err != nil {
+				avoid = append(avoid, groups[i].Move.To)
+				d.log("state", "move failed", "member", n.id, "to", groups[i].Move.To, "err", err)
 			}
 		}
-		if !failed {
+		if len(avoid) == 0 {
 			continue
 		}
 		select {
--- a/transporter/transporter.go
+++ b/transporter/transporter.go
@@ -166,7 +166,8 @@
 		close(p.ready)
 		address := remoteAddress(connection)
 		t.mu.Lock()
-		if _, present := t.peers[address]; !present {
+		// A peer dials when it has no connection, so an older one probably ended with an earlier process at its address.
+		if older, present := t.peers[address]; !present || older.connection != nil {
 			t.peers[address] = p
 		}
 		t.mu.Unlock()
@@ -266,19 +267,13 @@
 	t.serve(address, p)
 }
 
-// Drop closes the connection to an address, for a peer that is known to be gone.
-func (t *Transporter) Drop(address netip.AddrPort) {
+// Renew makes the next use of an address dial a new connection, for a peer that may have restarted there. Streams on the
+// present connection go on.
+func (t *Transporter) Renew(address netip.AddrPort) {
 	t.mu.Lock()
-	p := t.peers[address]
-	delete(t.peers, address)
-	var connection *quic.Conn
-	if p != nil {
-		connection = p.connection
-	}
-	t.mu.Unlock()
-	if connection != nil {
-		// The error only repeats why the connection had ended before.
-		_ = connection.CloseWithError(0, "peer was removed")
+	defer t.mu.Unlock()
+	if p := t.peers[address]; p != nil && p.connection != nil {
+		delete(t.peers, address)
 	}
 }
 
