--- a/experimenter/flood.go
+++ b/experimenter/flood.go
@@ -47,7 +47,7 @@
 func floodCases(each time.Duration) []floodCase {
 	cases := []floodCase{{}}
 	for _, times := range []float64{2, 5, 20} {
-		for _, flooded := range [][]string{{"pattern"}, {"order"}, {"pattern", "order"}} {
+		for _, flooded := range [][]string{{"pattern"}, {"stock"}, {"order"}, {"pattern", "order"}} {
 			cases = append(cases, floodCase{Flooded: flooded, Times: times})
 		}
 	}
@@ -63,7 +63,7 @@
 type floodResult struct {
 	Experiment string `json:"experiment"`
 	Seed       uint64 `json:"seed"`
-	// The next three are the lowest of all customers in the flood of 5 times of the least urgent rank.
+	// The next three are the lowest of all customers in the floods of 5 times of each less urgent rank.
 	UrgentWithinTarget float64            `json:"urgent_within_target"`
 	OrdersKept         float64            `json:"orders_kept"`
 	Kept               map[string]float64 `json:"kept"`
@@ -77,7 +77,7 @@
 	r.UrgentWithinTarget, r.OrdersKept, r.Kept = math.Inf(1), math.Inf(1), map[string]float64{}
 	for _, c := range r.Customers {
 		for _, f := range c.Policy.Cases {
-			if f.Times != 5 || !slices.Equal(f.Flooded, []string{"pattern"}) {
+			if f.Times != 5 || slices.Contains(f.Flooded, "order") {
 				continue
 			}
 			r.UrgentWithinTarget = min(r.UrgentWithinTarget, f.UrgentWithinTarget)
--- a/transporter/transporter.go
+++ b/transporter/transporter.go
@@ -10,6 +10,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/quic-go/quic-go"
+
+	"hibiscusline/timer"
 )
 
 // Stream is one exchange between two processes.
@@ -58,6 +60,8 @@
 	open  map[*quic.Conn]struct{}
 	ended Traffic
 
+	// accepted is the time of the last accepted connection by the clock of package timer.
+	accepted atomic.Int64
 	dials    atomic.Int64
 	failures atomic.Int64
 	sent     atomic.Int64
@@ -121,6 +125,9 @@
 // Address returns the address on which peers reach this process.
 func (t *Transporter) Address() netip.AddrPort { return t.address }
 
+// LastAccepted returns when a peer last completed a connection to this process, by the clock of package timer, or zero.
+func (t *Transporter) LastAccepted() time.Duration { return time.Duration(t.accepted.Load()) }
+
 // Counts returns the connections dialled, the failed dials, and the datagrams sent and dropped so far.
 func (t *Transporter) Counts() (dials, failures, sent, dropped int64) {
 	return t.dials.Load(), t.failures.Load(), t.sent.Load(), t.dropped.Load()
@@ -162,6 +169,7 @@
 		if err != nil {
 			return
 		}
+		t.accepted.Store(int64(timer.Now()))
 		p := &peer{ready: make(chan struct{}), connection: connection}
 		close(p.ready)
 		address := remoteAddress(connection)
