--- a/daemon/join.go
+++ b/daemon/join.go
@@ -14,15 +14,13 @@
 // A process that is cut off from its peers may still read the log and append to it. As a new member it would be given the
 // ranges of the next lost owner, and nobody could take them over, because it has no guardians yet.
 func (d *Daemon) awaitPeer(ctx context.Context, n *incarnation) bool {
-	const (
-		interval = 200 * time.Millisecond
-		recent   = 2 * time.Second
-	)
+	const interval = 200 * time.Millisecond
+	began := timer.Now()
 	for !n.leaving.Load() && !d.draining.Load() {
 		peers := d.somePeers()
-		// A peer that connects shows that both directions are open. The members of the state may all be lost.
-		connected := d.transport.LastAccepted()
-		if len(peers) == 0 || connected > 0 && timer.Now()-connected < recent || d.anyAnswers(ctx, peers) {
+		// A peer that connects meanwhile shows that both directions are open. The members of the state may all be lost. A
+		// connection from before the wait may be older than the cut for which this process was removed.
+		if len(peers) == 0 || d.transport.LastAccepted() > began || d.anyAnswers(ctx, peers) {
 			return !n.leaving.Load() && !d.draining.Load()
 		}
 		d.metrics.GetOrCreateCounter("hibiscus_joins_without_peer_total").Inc()
