--- a/launcher/fleet.go
+++ b/launcher/fleet.go
@@ -155,9 +155,6 @@
 	return nil
 }
 
-// LogAddress returns the address of the log service.
-func (f *Fleet) LogAddress() netip.AddrPort { return f.address }
-
 // Entries returns the addresses for callers of the processes that run.
 func (f *Fleet) Entries() []netip.AddrPort {
 	var entries []netip.AddrPort
