launcher: children are started on a thread that lasts as long as the program

A child with Pdeathsig is killed when the thread that started it ends, not only when the program does. A program of 20 lines showed it: four of five children of goroutines that ended while locked to their threads died with "signal: killed"; the fifth was started on the main thread, which is never ended. Ruled out: no code of the repository or of its modules locks a goroutine to a thread and lets it end, so it is not shown that this killed the two frozen processes. The process did not end by itself, as its log has neither a stop line nor a stack. Change: launcher.Spawn starts children on one thread that lasts; the soak uses it too. A signal to a process that has ended says how it ended, and a trial fails when one of its processes ended that nobody ended, which went unseen before.

--- a/launcher/node.go
+++ b/launcher/node.go
@@ -135,9 +135,7 @@
 	}
 	command := n.fleet.config.Command(path)
 	command.Stdout, command.Stderr = output, output
-	// A process must not outlive the program that started it.
-	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := command.Start(); err != nil {
+	if err := Spawn(command); err != nil {
 		return errors.Wrap(err, "start hibiscusd")
 	}
 	p := &process{command: command, done: make(chan struct{})}
@@ -274,7 +272,12 @@
 		return errors.New("a hibiscusd inside this process can't be frozen")
 	}
 	n.process.frozen = frozen
-	return errors.Wrap(n.process.command.Process.Signal(s), "signal hibiscusd")
+	err := n.process.command.Process.Signal(s)
+	if errors.Is(err, os.ErrProcessDone) {
+		<-n.process.done
+		return errors.Errorf("signal %s to process %s: it ended: %v", s, n.Name, n.process.err)
+	}
+	return errors.Wrap(err, "signal hibiscusd")
 }
 
 // PID returns the process id of the hibiscusd, or zero when it runs inside this process.
--- a/launcher/trial_test.go
+++ b/launcher/trial_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"hibiscusline/applier"
@@ -100,6 +101,9 @@
 	}
 	require.NoError(t, err)
 	t.Cleanup(func() {
+		for _, n := range f.Nodes {
+			assert.NoError(t, n.failed())
+		}
 		showLogs(t, directory)
 		require.NoError(t, f.Stop())
 	})
--- a/soaker/node.go
+++ b/soaker/node.go
@@ -87,8 +87,7 @@
 	defer func() { _ = log.Close() }() // The process has its own descriptor.
 	c := exec.Command(n.soak.config.Binary, "sidecar", "--settings", n.path)
 	c.Stdout, c.Stderr = log, log
-	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := c.Start(); err != nil {
+	if err := launcher.Spawn(c); err != nil {
 		return errors.WithStack(err)
 	}
 	exited := make(chan struct{})
