delegator, attendant: a few processes of a zone read the store for the others

Every one of 91 processes kept a read of its own waiting. Ruled out: longer waits (a lease runs from the start of a read, so grants would shrink); synchronization with random processes as the only way (its age grows with the logarithm of their number, about 4 s here, and a configuration has 2.5 s). Change: four readers a zone, ranked by a hash, without election. The others ask them in turn and let the answer wait for news. The answer carries the age of its proof and how long it was held, so leases go on resting on the start of a read of the store. A reader without recent knowledge is left out; without any reader a process reads the store itself. Sites with up to four processes a zone read as before.

--- a/attendant/attendant.go
+++ b/attendant/attendant.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log"
 
 	"hibiscusline/carrier"
+	"hibiscusline/delegator"
 	"hibiscusline/forwarder"
 	"hibiscusline/gatekeeper"
 	"hibiscusline/granter"
@@ -54,7 +55,10 @@
 	// heartbeat, grace and drain hold the durations that settings may change while the process runs.
 	heartbeat, grace, drain atomic.Int64
 
-	stopping   atomic.Bool
+	stopping atomic.Bool
+	// delegates means that other processes read the store for this one. The delegator belongs to the loop that follows records.
+	delegates  atomic.Bool
+	delegator  *delegator.Delegator
 	configDoc  atomic.Pointer[configuration]
 	storeReach dependency
 	// refreshed is the time of the latest refreshFrom.
@@ -135,6 +139,7 @@
 		Limits: a.limits, Handle: a.forwarder.Handle, Overlap: a.forwarder.Overlap, MaxConnections: s.Descriptors / 2,
 	})
 	a.inbound = carrier.NewServer(carrier.ServerConfig{Limits: a.peerLimits, Handle: a.serveInbound})
+	a.delegator = newDelegator(s.Name, leaseTerm(bounds.MaxHold))
 	a.storeReach = dependency{name: "store", logger: a.logger}
 	return a
 }
--- /dev/null
+++ b/attendant/delegate_test.go
@@ -0,0 +1,60 @@
+package attendant_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscusline/platform/imitator"
+)
+
+// delegating returns the nodes whose processes leave the reads of the store to others, by the newest line of each.
+func (s *site) delegating() map[string]bool {
+	names := map[string]bool{}
+	for line := range strings.Lines(s.logs.String()) {
+		if !strings.Contains(line, "event=store_reads_delegated") {
+			continue
+		}
+		_, name, _ := strings.Cut(line, "process=")
+		name, _, _ = strings.Cut(name, " ")
+		names[name] = strings.Contains(line, "delegated=true")
+	}
+	for name, delegated := range names {
+		if !delegated {
+			delete(names, name)
+		}
+	}
+	return names
+}
+
+// TestDelegatedReads guards against processes that learn nothing new because others read the store for them, also when all
+// of those end at once.
+func TestDelegatedReads(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 2, 7)
+	s.await("all but four processes leave the reads to others", func() bool { return len(s.delegating()) == 5 })
+	s.publish(2, "/extra/")
+	for i := range s.nodes {
+		s.await("every process knows the new route", func() bool {
+			return s.send(s.nodes[i], http.MethodGet, "/extra/1", imitator.NoKey).Status == http.StatusOK
+		})
+		s.await("every process serves all keys", func() bool { return s.served(i) })
+	}
+	left := s.delegating()
+	for _, n := range s.nodes {
+		if !left[n.settings.Name] {
+			n.endProcess()
+		}
+	}
+	s.publish(3, "/later/")
+	for _, n := range s.nodes {
+		if left[n.settings.Name] {
+			s.await("the processes that are left know the new route", func() bool {
+				return s.send(n, http.MethodGet, "/later/1", imitator.NoKey).Status == http.StatusOK
+			})
+		}
+	}
+	require.Len(t, left, 5)
+}
--- a/attendant/records.go
+++ b/attendant/records.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"hibiscusline/assigner"
+	"hibiscusline/delegator"
 	"hibiscusline/platform"
 	"hibiscusline/registrar"
 	"hibiscusline/timer"
@@ -46,17 +47,21 @@
 	}
 }
 
-// followRecords reads the system's own records for as long as the process runs.
+// followRecords learns of the system's own records for as long as the process runs: by reads of the store, or from a process
+// of its zone that reads the store.
 func (a *Attendant) followRecords(ctx context.Context) {
-	next, loaded := uint64(0), false
+	loaded := false
 	for ctx.Err() == nil {
 		var err error
 		if !loaded {
-			next, err = a.loadRecords(ctx)
+			err = a.loadRecords(ctx)
 			loaded = err == nil
+		} else if r, delegated := a.source().(delegator.Reader); delegated {
+			a.followReader(ctx, r.Name)
+			continue
 		} else {
 			var count int
-			next, count, err = a.readRecords(ctx, next)
+			count, err = a.readRecords(ctx)
 			if errors.Is(err, platform.ErrExpired) {
 				loaded, err = false, nil
 			}
@@ -81,13 +86,13 @@
 	return min(gather, maxGather, leaseTerm(a.bounds.MaxHold)/recordsWaitParts)
 }
 
-func (a *Attendant) loadRecords(ctx context.Context) (uint64, error) {
+func (a *Attendant) loadRecords(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	a.metrics.count(`hibiscus_store_calls_total{call="newest"}`)
 	entries, end, err := a.store.Newest(ctx, platform.RecordsTopic)
 	if err != nil {
-		return 0, err
+		return err
 	}
 	// Pages are read one after the other, so a record may be missing until the reads that follow show it: this load is no
 	// proof that the table is the newest.
@@ -95,25 +100,27 @@
 	a.loaded = true
 	a.mu.Unlock()
 	a.apply(entries, end, 0)
-	return end, nil
+	return nil
 }
 
-func (a *Attendant) readRecords(ctx context.Context, from uint64) (next uint64, count int, err error) {
-	wait := min(recordsWait, leaseTerm(a.bounds.MaxHold)/recordsWaitParts)
+// readRecords reads the records that follow those that the process knows, and returns their number.
+func (a *Attendant) readRecords(ctx context.Context) (int, error) {
+	wait := a.readWait()
+	from := a.registrar.View().End
 	ctx, cancel := context.WithTimeout(ctx, wait+readMargin)
 	defer cancel()
 	began := timer.Now()
 	a.metrics.count(`hibiscus_store_calls_total{call="read"}`)
 	b, err := a.store.Read(ctx, platform.RecordsTopic, from, wait)
 	if err != nil {
-		return from, 0, err
+		return 0, err
 	}
 	proof := time.Duration(0)
 	if b.Next == b.End {
 		proof = began
 	}
 	a.apply(b.Entries, b.Next, proof)
-	return b.Next, len(b.Entries), nil
+	return len(b.Entries), nil
 }
 
 type suspicionKey struct {
@@ -168,49 +175,3 @@
 	default:
 	}
 }
-
-// followConfiguration reads the operators' configuration for as long as the process runs.
-func (a *Attendant) followConfiguration(ctx context.Context) {
-	next, loaded := uint64(0), false
-	for ctx.Err() == nil {
-		var entries []registrar.Entry
-		var err error
-		wait := callTimeout
-		if loaded {
-			wait = configurationWait + readMargin
-		}
-		call, cancel := context.WithTimeout(ctx, wait)
-		if !loaded {
-			a.metrics.count(`hibiscus_store_calls_total{call="newest"}`)
-			entries, next, err = a.store.Newest(call, platform.ConfigurationTopic)
-			loaded = err == nil
-		} else {
-			a.metrics.count(`hibiscus_store_calls_total{call="read"}`)
-			var b platform.Batch
-			b, err = a.store.Read(call, platform.ConfigurationTopic, next, configurationWait)
-			entries = b.Entries
-			if err == nil {
-				next = b.Next
-			}
-		}
-		cancel()
-		switch {
-		case errors.Is(err, platform.ErrExpired):
-			loaded = false
-		case err != nil:
-			a.storeReach.lost(err)
-			loaded = false
-			if !pause(ctx, storePause) {
-				return
-			}
-		}
-		for _, e := range entries {
-			if e.Key == platform.ConfigurationKey && len(e.Value) > 0 {
-				a.takeConfiguration(e.Value, "store")
-			}
-		}
-		if len(entries) > 0 && !pause(ctx, gatherConfigurations) {
-			return
-		}
-	}
-}
--- a/attendant/sync.go
+++ b/attendant/sync.go
@@ -23,6 +23,8 @@
 	gossipInterval = 500 * time.Millisecond
 	// syncTimeout bounds one synchronization.
 	syncTimeout = 600 * time.Millisecond
+	// maxSyncWait bounds how long a process waits for news on behalf of another one.
+	maxSyncWait = 2 * time.Second
 	syncPath    = "/sync"
 )
 
@@ -30,9 +32,11 @@
 type syncResponse struct {
 	_   struct{} `cbor:",toarray"`
 	End uint64
-	// Age is the time since the start of the newest read that showed that there were no further records, in microseconds.
-	// It is negative if there was none.
-	Age     int64
+	// Age is the time from the start of the newest read that showed that there were no further records to this response, in
+	// microseconds. It is negative if there was none.
+	Age int64
+	// Held is the time from the request to this response, in microseconds.
+	Held    int64
 	Entries []registrar.Entry
 	Version uint64
 	// Document is the configuration, if it is newer than the asking process's.
@@ -77,31 +81,39 @@
 
 // syncWith asks a process for what it knows beyond this one.
 func (a *Attendant) syncWith(ctx context.Context, peer netip.AddrPort) error {
-	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	_, err := a.learnFrom(ctx, peer, 0)
+	return err
+}
+
+// learnFrom asks a process for what it knows beyond this one, and to wait for news up to a time if it knows nothing more. It
+// returns how old the process's knowledge of the store was, or a negative time if that is unknown.
+func (a *Attendant) learnFrom(ctx context.Context, peer netip.AddrPort, wait time.Duration) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+syncTimeout)
 	defer cancel()
 	began := timer.Now()
 	query := url.Values{
 		"from": {strconv.FormatUint(a.registrar.View().End, 10)}, "version": {strconv.FormatUint(a.version(), 10)},
-		"peer": {a.own.Peer.String()},
+		"peer": {a.own.Peer.String()}, "wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
 	}
 	q := &carrier.Request{Method: http.MethodGet, Target: syncPath + "?" + query.Encode(), Host: peer.String(), Header: http.Header{}}
 	r, err := a.peers.Ask(ctx, peer, q)
 	if err != nil {
-		return err
+		return -1, err
 	}
 	var n syncResponse
 	if err := cbor.Unmarshal(r.Body, &n); err != nil {
-		return errors.Wrap(err, "response of another process")
+		return -1, errors.Wrap(err, "response of another process")
 	}
-	proof := time.Duration(0)
+	age, proof := time.Duration(n.Age)*time.Microsecond, time.Duration(0)
 	if n.Age >= 0 && n.End >= a.registrar.View().End {
-		proof = began - time.Duration(n.Age)*time.Microsecond
+		// The response was made at least Held after the request left here.
+		proof = began + time.Duration(n.Held)*time.Microsecond - age
 	}
 	a.apply(n.Entries, n.End, proof)
 	if len(n.Document) > 0 {
 		a.takeConfiguration(n.Document, peer.String())
 	}
-	return nil
+	return age, nil
 }
 
 // notify lets other processes fetch what is new here, so that they needn't wait for their next read.
@@ -142,7 +154,7 @@
 // serveInbound answers other processes.
 func (a *Attendant) serveInbound(ctx context.Context, q *carrier.Request) *carrier.Response {
 	if q.Header.Get(gatekeeper.FieldPrefix+"Rank") == "" {
-		return a.serveSync(q)
+		return a.serveSync(ctx, q)
 	}
 	j, err := gatekeeper.DecodeJob(q)
 	if err != nil {
@@ -151,7 +163,7 @@
 	return gatekeeper.EncodeResult(a.gate.Run(ctx, j))
 }
 
-func (a *Attendant) serveSync(q *carrier.Request) *carrier.Response {
+func (a *Attendant) serveSync(ctx context.Context, q *carrier.Request) *carrier.Response {
 	u, err := url.Parse(q.Target)
 	if err != nil || u.Path != syncPath {
 		return carrier.NewResponse(http.StatusNotFound, "no such path")
@@ -160,10 +172,13 @@
 	from, err1 := strconv.ParseUint(query.Get("from"), 10, 64)
 	version, err2 := strconv.ParseUint(query.Get("version"), 10, 64)
 	peer, err3 := netip.ParseAddrPort(query.Get("peer"))
-	if err1 != nil || err2 != nil || err3 != nil {
+	wait, err4 := strconv.ParseUint(query.Get("wait_ms"), 10, 32)
+	if err1 != nil || err2 != nil || err3 != nil || err4 != nil {
 		return carrier.NewResponse(http.StatusBadRequest, "malformed query")
 	}
+	a.awaitNews(ctx, from, version, min(time.Duration(wait)*time.Millisecond, maxSyncWait))
 	n := a.newerThan(from, version)
+	n.Held = (timer.Now() - q.Received).Microseconds()
 	if from > n.End || version > n.Version {
 		go func() {
 			if a.refreshing.CompareAndSwap(false, true) {
@@ -179,6 +194,28 @@
 	return &carrier.Response{Status: http.StatusOK, Header: http.Header{}, Body: data}
 }
 
+// awaitNews waits up to a time while the process knows exactly as much as the one that asks.
+func (a *Attendant) awaitNews(ctx context.Context, from, version uint64, limit time.Duration) {
+	if limit <= 0 {
+		return
+	}
+	end := time.NewTimer(limit)
+	defer end.Stop()
+	for {
+		news := a.news.wait()
+		if a.registrar.View().End != from || a.version() != version || a.stopping.Load() {
+			return
+		}
+		select {
+		case <-news:
+		case <-end.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 func (a *Attendant) newerThan(from, version uint64) syncResponse {
 	a.applying.Lock()
 	defer a.applying.Unlock()
--- /dev/null
+++ b/delegator/delegator_test.go
@@ -0,0 +1,127 @@
+package delegator_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscusline/delegator"
+)
+
+const (
+	maxAge     = 4 * time.Second
+	suspension = 3 * time.Second
+)
+
+func newDelegator(self string, readers int) *delegator.Delegator {
+	return delegator.New(delegator.Config{Self: self, Readers: readers, MaxAge: maxAge, Suspension: suspension})
+}
+
+func zone(count int, lost ...int) []delegator.Member {
+	members := make([]delegator.Member, count)
+	for i := range members {
+		members[i] = delegator.Member{Name: fmt.Sprintf("m-%d", i), Usable: true}
+	}
+	for _, i := range lost {
+		members[i].Usable = false
+	}
+	return members
+}
+
+// readers returns the members that read the store themselves at the start.
+func readers(members []delegator.Member, count int) map[string]bool {
+	names := map[string]bool{}
+	for _, m := range members {
+		if _, reads := newDelegator(m.Name, count).Next(0, members).(delegator.Store); reads && m.Usable {
+			names[m.Name] = true
+		}
+	}
+	return names
+}
+
+// TestReaders guards against a zone in which all processes read the store, or none does.
+func TestReaders(t *testing.T) {
+	for _, count := range []int{1, 2, 3, 4, 5, 23, 400} {
+		require.Len(t, readers(zone(count), 4), min(count, 4), count)
+	}
+	// Without any other process that it knows, a process reads the store.
+	require.Equal(t, delegator.Store{}, newDelegator("m-0", 4).Next(0, nil))
+}
+
+// TestAskedAreReaders guards against processes that ask one that doesn't read the store, for as long as all see the same.
+func TestAskedAreReaders(t *testing.T) {
+	members := zone(23, 3, 7)
+	reading := readers(members, 4)
+	for _, m := range members {
+		d := newDelegator(m.Name, 4)
+		for i := range 12 {
+			if r, asks := d.Next(time.Duration(i), members).(delegator.Reader); asks && m.Usable {
+				require.True(t, reading[r.Name], "%s asks %s", m.Name, r.Name)
+			}
+		}
+	}
+}
+
+// TestReaderWithoutStore guards against a process that goes on learning from a reader which the store turns away: the next
+// answer comes from another one, and the reader is left out for a while.
+func TestReaderWithoutStore(t *testing.T) {
+	members := zone(23)
+	d := newDelegator(follower(members), 4)
+	first := d.Next(0, members).(delegator.Reader).Name
+	d.Learned(0, first, maxAge+1)
+	for i := range 30 {
+		now := time.Duration(i) * 90 * time.Millisecond
+		r := d.Next(now, members).(delegator.Reader)
+		require.NotEqual(t, first, r.Name)
+		d.Learned(now, r.Name, time.Second)
+	}
+	asked := map[string]bool{}
+	for range 4 {
+		asked[d.Next(suspension, members).(delegator.Reader).Name] = true
+	}
+	require.Contains(t, asked, first)
+}
+
+// TestNoReaderAnswers guards against a process that learns nothing because all readers of its zone are lost or know nothing
+// recent: it reads the store itself.
+func TestNoReaderAnswers(t *testing.T) {
+	members := zone(23)
+	d := newDelegator(follower(members), 4)
+	for range 4 {
+		d.Failed(0, d.Next(0, members).(delegator.Reader).Name)
+	}
+	require.Equal(t, delegator.Store{}, d.Next(1, members))
+	require.IsType(t, delegator.Reader{}, d.Next(suspension, members))
+}
+
+// TestOneLostReader guards against a delay that grows with the time for which one reader answers nothing: of several askers,
+// each meets it once in a suspension.
+func TestOneLostReader(t *testing.T) {
+	members := zone(23)
+	d := newDelegator(follower(members), 4)
+	lost := d.Next(0, members).(delegator.Reader).Name
+	met := 1
+	d.Failed(0, lost)
+	for now := time.Duration(0); now < 2*suspension; now += 100 * time.Millisecond {
+		if r := d.Next(now, members).(delegator.Reader); r.Name == lost {
+			met++
+			d.Failed(now, lost)
+		} else {
+			d.Learned(now, r.Name, 0)
+		}
+	}
+	require.Equal(t, 2, met)
+}
+
+// follower returns the name of a member that doesn't read the store.
+func follower(members []delegator.Member) string {
+	reading := readers(members, 4)
+	for _, m := range members {
+		if !reading[m.Name] {
+			return m.Name
+		}
+	}
+	return ""
+}
