pacer, gatekeeper: large responses take turns on the instance's link

The archive's seven instances have links of 12 Mbit/s and send downloads of 90 kB at 81 Mbit/s in all; each response was written at once, so small responses waited behind dozens of large ones in the queue of the link. Ruled out: slots of the archive's servers (30 of 84 busy); the calls' rank (they were admitted; 8,819 requests took more than half of their target to reach a server). Change: the settings name the link's rate. Responses of 16 KiB or more take turns at 85% of it, others go at once. The gate beside a server knows the usual size of a rank's responses and refuses a request whose response can't leave within 80% of the target, with the time after which it could.

--- a/attendant/attendant.go
+++ b/attendant/attendant.go
@@ -48,6 +48,7 @@
 	peers     *forwarder.Peers
 	forwarder *forwarder.Forwarder
 	gate      *gatekeeper.Gatekeeper
+	link      *gatekeeper.Link
 	callers   *carrier.Server
 	inbound   *carrier.Server
 	metrics   *meters
@@ -127,8 +128,9 @@
 	a.granter.Revoke()
 	a.own = registrar.Member{Name: s.Name, Zone: s.Zone, Peer: s.PeerAddress(), Service: s.Service}
 	a.peers = forwarder.NewPeers(forwarder.PeersConfig{Probe: a.syncWith, Changed: a.peerChanged})
+	a.link = gatekeeper.NewLink(s.LinkMbps * bytesPerMegabit)
 	a.gate = gatekeeper.New(gatekeeper.Config{
-		Backend: s.Backend, Logger: a.logger, Permits: a.permits, Lost: a.serverLost,
+		Backend: s.Backend, Logger: a.logger, Permits: a.permits, Lost: a.serverLost, Link: a.link,
 	})
 	a.forwarder = forwarder.New(forwarder.Config{
 		Member: s.Name, Zone: s.Zone, Service: s.Service, View: a.registrar.View, Local: a.gate, Peers: a.peers,
@@ -136,7 +138,7 @@
 		Observe: a.metrics.request, Refresh: a.refreshFrom,
 	})
 	a.callers = carrier.NewServer(carrier.ServerConfig{
-		Limits: a.limits, Handle: a.forwarder.Handle, Overlap: a.forwarder.Overlap, MaxConnections: s.Descriptors / 2,
+		Limits: a.limits, Handle: a.serveCaller, Overlap: a.forwarder.Overlap, MaxConnections: s.Descriptors / 2,
 	})
 	a.inbound = carrier.NewServer(carrier.ServerConfig{Limits: a.peerLimits, Handle: a.serveInbound})
 	a.delegator = newDelegator(s.Name, leaseTerm(bounds.MaxHold))
@@ -160,6 +162,9 @@
 	}
 }
 
+// bytesPerMegabit converts the rate of a link.
+const bytesPerMegabit = 1e6 / 8
+
 // Limits that hold before a configuration is known.
 var defaultLimits = carrier.Limits{
 	HeaderBytes: 16 << 10, BodyBytes: 64 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second,
--- a/attendant/sync.go
+++ b/attendant/sync.go
@@ -160,7 +160,18 @@
 	if err != nil {
 		return carrier.NewResponse(http.StatusBadRequest, err.Error())
 	}
-	return gatekeeper.EncodeResult(a.gate.Run(ctx, j))
+	return a.takeTurn(ctx, gatekeeper.EncodeResult(a.gate.Run(ctx, j)))
+}
+
+// serveCaller answers a caller.
+func (a *Attendant) serveCaller(ctx context.Context, q *carrier.Request) *carrier.Response {
+	return a.takeTurn(ctx, a.forwarder.Handle(ctx, q))
+}
+
+// takeTurn waits until a response may use the instance's link. When the one who asked has left, nobody reads the response.
+func (a *Attendant) takeTurn(ctx context.Context, r *carrier.Response) *carrier.Response {
+	_ = a.link.Await(ctx, len(r.Body))
+	return r
 }
 
 func (a *Attendant) serveSync(ctx context.Context, q *carrier.Request) *carrier.Response {
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -22,6 +22,8 @@
 	Logger  log.Logger
 	// Permits reports whether the server may run a request for a key now.
 	Permits func(now time.Duration, key uint16) bool
+	// Link is the instance's link, which bounds the large responses. Nil means no bound.
+	Link *Link
 	// Lost is called when the server's address refuses connections, so that the server's incarnation has ended.
 	Lost func(instance string)
 }
@@ -53,6 +55,8 @@
 	ticking  bool
 	arrivals arrivals
 	silence  carrier.Silence
+	// sizes holds the average size of the responses of each rank, in bytes.
+	sizes map[string]float64
 }
 
 const (
@@ -78,6 +82,9 @@
 
 // New returns a Gatekeeper without server.
 func New(c Config) *Gatekeeper {
+	if c.Link == nil {
+		c.Link = NewLink(0)
+	}
 	return &Gatekeeper{
 		config: c,
 		pool: carrier.NewPool(carrier.PoolConfig{
@@ -85,7 +92,7 @@
 			Belongs: func(q *carrier.Request, h http.Header) bool { return platform.Answers(q.Header, h) },
 		}),
 		admitter: admitter.New(admitter.Config{QueueLimit: queueLimit, NestedShare: nestedShare}),
-		waiting:  map[uint64]chan admitter.Action{},
+		waiting:  map[uint64]chan admitter.Action{}, sizes: map[string]float64{},
 	}
 }
 
@@ -145,6 +152,12 @@
 	if r, refused := g.check(j); refused {
 		return r
 	}
+	size := g.expectedSize(j)
+	if r, refused := g.checkLink(j, size); refused {
+		return r
+	}
+	g.config.Link.expect(size)
+	defer g.config.Link.expect(-size)
 	id, action := g.arrive(j)
 	if r, refused := g.await(ctx, j, id, action); refused {
 		return r
@@ -162,6 +175,9 @@
 	r = g.send(ctx, j, server)
 	g.mu.Lock()
 	g.silence.Ended(timer.Now(), r.Outcome == Answered || r.Reason == ServerRefused)
+	if r.Outcome == Answered && r.Response.Status < http.StatusBadRequest {
+		g.noteSize(j.Rank, len(r.Response.Body))
+	}
 	g.mu.Unlock()
 	g.finish(id, r.Outcome == Answered, timer.Now()-started)
 	return r
--- a/gatekeeper/gatekeeper_test.go
+++ b/gatekeeper/gatekeeper_test.go
@@ -21,12 +21,17 @@
 )
 
 func newGate(t *testing.T, slots int, handler http.HandlerFunc) *gatekeeper.Gatekeeper {
+	t.Helper()
+	return newLinkedGate(t, slots, nil, handler)
+}
+
+func newLinkedGate(t *testing.T, slots int, link *gatekeeper.Link, handler http.HandlerFunc) *gatekeeper.Gatekeeper {
 	t.Helper()
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
 	g := gatekeeper.New(gatekeeper.Config{
 		Backend: netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")), Logger: log.NewNopLogger(),
-		Permits: func(time.Duration, uint16) bool { return true }, Lost: func(string) {},
+		Permits: func(time.Duration, uint16) bool { return true }, Lost: func(string) {}, Link: link,
 	})
 	g.SetServer(gatekeeper.Server{Instance: "i-1", Service: "stock", Slots: slots})
 	return g
@@ -105,6 +110,43 @@
 	require.Equal(t, gatekeeper.DeadlinePassed, r.Reason, "one request at a time tries the server")
 }
 
+// TestLinkBusy guards against downloads that are run although the responses before theirs fill the link until nobody waits for
+// them any more, and against small responses that are refused because of them.
+func TestLinkBusy(t *testing.T) {
+	const size = 90_000
+	link := gatekeeper.NewLink(12e6 / 8)
+	g := newLinkedGate(t, 4, link, func(w http.ResponseWriter, r *http.Request) {
+		answer(w, r)
+		if r.URL.Path == "/download" {
+			_, _ = w.Write(make([]byte, size))
+		}
+	})
+	download := func() gatekeeper.Result {
+		j := job("a", time.Minute)
+		j.Rank, j.Request.Target = "download", "/download"
+		return g.Run(context.Background(), j)
+	}
+	require.Equal(t, gatekeeper.Answered, download().Outcome)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	sent := make(chan bool)
+	const messages = 400
+	for range messages {
+		go func() { sent <- link.Await(ctx, size) }()
+	}
+	require.Eventually(t, func() bool { return link.Delay(size) > 10*time.Second }, 10*time.Second, time.Millisecond)
+	r := download()
+	require.Equal(t, gatekeeper.LinkBusy, r.Reason)
+	require.Equal(t, gatekeeper.NotRun, r.Outcome)
+	require.Greater(t, r.RetryAfter, time.Second)
+	require.Equal(t, gatekeeper.Answered, g.Run(context.Background(), job("b", time.Minute)).Outcome)
+	cancel()
+	for range messages {
+		<-sent
+	}
+	require.Eventually(t, func() bool { return download().Outcome == gatekeeper.Answered }, 10*time.Second, time.Millisecond)
+}
+
 // TestLoad guards against loads that are lost on the way to other processes.
 func TestLoad(t *testing.T) {
 	g := newGate(t, 2, func(w http.ResponseWriter, r *http.Request) { answer(w, r) })
--- a/gatekeeper/job.go
+++ b/gatekeeper/job.go
@@ -44,6 +44,7 @@
 	Stopping                       // stopping
 	PeerUnreachable                // peer_unreachable
 	ServerSilent                   // server_silent
+	LinkBusy                       // link_busy
 	reasonCount
 )
 
--- a/gatekeeper/names.go
+++ b/gatekeeper/names.go
@@ -43,12 +43,13 @@
 	_ = x[Stopping-12]
 	_ = x[PeerUnreachable-13]
 	_ = x[ServerSilent-14]
-	_ = x[reasonCount-15]
+	_ = x[LinkBusy-15]
+	_ = x[reasonCount-16]
 }
 
-const _Reason_name = "nonedrainingno_servernot_owneroverloadeddeadline_too_closeserver_refusedconnection_failedconnection_lostspoiled_answerdeadline_passedcaller_gonestoppingpeer_unreachableserver_silentreasonCount"
+const _Reason_name = "nonedrainingno_servernot_owneroverloadeddeadline_too_closeserver_refusedconnection_failedconnection_lostspoiled_answerdeadline_passedcaller_gonestoppingpeer_unreachableserver_silentlink_busyreasonCount"
 
-var _Reason_index = [...]uint8{0, 4, 12, 21, 30, 40, 58, 72, 89, 104, 118, 133, 144, 152, 168, 181, 192}
+var _Reason_index = [...]uint8{0, 4, 12, 21, 30, 40, 58, 72, 89, 104, 118, 133, 144, 152, 168, 181, 190, 201}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/loader/sidecar.go
+++ b/loader/sidecar.go
@@ -33,9 +33,11 @@
 	// Heartbeat is the interval of the backend servers' heartbeats.
 	Heartbeat time.Duration `json:"heartbeat"`
 	// Memory is the memory of the process in MB, and Descriptors the number of files and connections that it may open.
-	Memory      int           `json:"memory_mb"`
-	Descriptors int           `json:"descriptors"`
-	Bounds      BoundSettings `json:"bounds"`
+	Memory      int `json:"memory_mb"`
+	Descriptors int `json:"descriptors"`
+	// LinkMbps is the rate of the instance's link in Mbit/s. Zero means that it is no limit.
+	LinkMbps float64       `json:"link_mbps"`
+	Bounds   BoundSettings `json:"bounds"`
 }
 
 // BoundSettings are the figures of the platform's contract.
@@ -100,6 +102,7 @@
 	c.duration("heartbeat", s.Heartbeat, minPollInterval, maxPollInterval)
 	c.count("memory_mb", s.Memory, 16, maxCount)
 	c.count("descriptors", s.Descriptors, 64, maxCount)
+	c.require(s.LinkMbps >= 0, "link_mbps", fmt.Sprint(s.LinkMbps), "0 or more")
 	c.duration("bounds.drain", s.Bounds.Drain, minPollInterval, maxDuration)
 	c.duration("bounds.grace", s.Bounds.Grace, time.Second, maxDuration)
 	c.require(s.Bounds.RetryShare >= 0 && s.Bounds.RetryShare <= 1, "bounds.retry_share", fmt.Sprint(s.Bounds.RetryShare), "0 to 1")
