balancer: the part of a zone's requests that its members can't take goes elsewhere

A process prefers its zone until a server there looks 0.4 of its slots busier, but each of 72 processes sees only its own few requests in flight, and reports weigh a quarter of the slots at most. Ruled out: a smaller bias, which sends bytes between zones on every site; a larger weight of reports, which let a wrong report attract everything. Change: zones are weighted by the processes in them. Where a zone has fewer slots than its part, that part of its requests is chosen without the bias, and against the zone once its best member reports half of its slots busy. Besides, the gate counts the two further links that a large response crosses.

--- a/balancer/chooser.go
+++ b/balancer/chooser.go
@@ -21,6 +21,7 @@
 	reference time.Duration
 	reviewed  time.Duration
 	turn      int
+	demand    map[string]int
 	counts    ChooserCounts
 }
 
@@ -82,7 +83,7 @@
 func (c *Chooser) best(candidates []Candidate, zone string) *Candidate {
 	near, far, cold := c.sample(candidates, zone)
 	best := c.lessBusy(near)
-	if other := c.lessBusy(far); best == nil || other != nil && c.busy(*other)+c.config.NearBias < c.busy(*best) {
+	if other := c.lessBusy(far); best == nil || other != nil && c.busy(*other)+c.nearBias(candidates, best, zone) < c.busy(*best) {
 		best = other
 	}
 	if cold != nil && (best == nil || c.crowded(*cold) < c.busy(*best)) {
--- a/forwarder/forwarding.go
+++ b/forwarder/forwarding.go
@@ -102,24 +102,13 @@
 			last.RetryAfter = max(last.RetryAfter, keyRetryAfter)
 			return last
 		}
-		if moving && !sleep(ctx, keyPause) {
+		if moving && !timer.Sleep(ctx, keyPause) {
 			return last
 		}
 	}
 	return last
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // owner returns the member that owns the request's key.
 func (p *forwarding) owner() (registrar.Member, bool) {
 	v := p.forwarder.config.View()
@@ -149,7 +138,8 @@
 	byID := map[applier.MemberID]registrar.Member{}
 	p.service.mu.Lock()
 	defer p.service.mu.Unlock()
-	for _, m := range p.forwarder.config.View().ByService[p.match.Service.Name] {
+	v := p.forwarder.config.View()
+	for _, m := range v.ByService[p.match.Service.Name] {
 		if m.State != registrar.Ready || m.Stopping || p.wasTried(m.Name) || p.forwarder.config.Peers.DownFor(m.Peer) > 0 {
 			continue
 		}
@@ -166,6 +156,8 @@
 		byID[c.ID] = m
 		candidates = append(candidates, c)
 	}
+	// Each process takes the requests of the callers on its instance, so the processes of a zone stand for its demand.
+	p.service.chooser.SetDemand(v.ByZone)
 	id, found := p.service.chooser.Pick(now, candidates, p.forwarder.config.Zone)
 	if !found {
 		return registrar.Member{}, false
--- a/gatekeeper/link.go
+++ b/gatekeeper/link.go
@@ -74,7 +74,12 @@
 	l.pacer.Expect(bytes)
 }
 
-// Delay returns how long it would take until a message that arrived now is sent, or zero for one that takes no turn.
+// furtherLinks is how many more links like this one a response crosses on its way to the caller: into the instance where the
+// request began, and out of it.
+const furtherLinks = 2
+
+// Delay returns how long it would take until a message that arrived now has reached the caller, or zero for one that takes no
+// turn.
 func (l *Link) Delay(bytes int) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -82,11 +87,11 @@
 	if span == 0 {
 		return 0
 	}
-	return l.pacer.Backlog(timer.Now()) + span
+	return l.pacer.Backlog(timer.Now()) + (1+furtherLinks)*span
 }
 
-// linkTargetShare is the part of the target that the work of a request and the wait for the link may take together. The rest
-// is for the way to the caller.
+// linkTargetShare is the part of the target that the work of a request and the way of its response may take together. The rest
+// is for errors of the estimates.
 const linkTargetShare = 0.8
 
 // sizeWeight is the weight of one response in the average size of its rank.
@@ -118,7 +123,7 @@
 		return Result{}, false
 	}
 	g.mu.Lock()
-	needed := delay + g.service
+	needed := delay + g.admitter.RankService(j.Rank)
 	g.mu.Unlock()
 	allowed := min(time.Duration(linkTargetShare*float64(j.Target)), j.Deadline-timer.Now())
 	if needed <= allowed {
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -39,6 +39,8 @@
 	Tables  map[string]*assigner.Table
 	// ByService holds the members of each service, sorted by name.
 	ByService map[string][]Member
+	// ByZone holds the number of members in each zone.
+	ByZone map[string]int
 	// offsets holds the offset of each record.
 	offsets map[string]uint64
 }
@@ -73,7 +75,7 @@
 	old := r.View()
 	next := &View{
 		End: max(old.End, end), Members: maps.Clone(old.Members), Tables: maps.Clone(old.Tables), ByService: old.ByService,
-		offsets: maps.Clone(old.offsets),
+		ByZone: old.ByZone, offsets: maps.Clone(old.offsets),
 	}
 	var failed []string
 	changed := end > old.End
@@ -128,10 +130,11 @@
 }
 
 func (v *View) index() {
-	v.ByService = map[string][]Member{}
+	v.ByService, v.ByZone = map[string][]Member{}, map[string]int{}
 	for _, name := range slices.Sorted(maps.Keys(v.Members)) {
 		m := v.Members[name]
 		v.ByService[m.Service] = append(v.ByService[m.Service], m)
+		v.ByZone[m.Zone]++
 	}
 }
 
