--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -22,6 +22,8 @@
 	arrivals []*entry
 	actions  []Action
 	unknown  uint64
+	// service is the service time over all ranks.
+	service estimate
 }
 
 // New returns an Admitter without requests.
@@ -60,6 +62,17 @@
 	return a.actions
 }
 
+// Service returns the mean service time of recent requests over all ranks, or zero if none has finished.
+func (a *Admitter) Service() time.Duration { return a.service.mean }
+
+// RankService returns the mean service time of recent requests of a rank, or zero if none has finished.
+func (a *Admitter) RankService(rank string) time.Duration {
+	if q := a.queueOf(rank); q != nil {
+		return q.service.mean
+	}
+	return 0
+}
+
 func (a *Admitter) advance(now time.Duration) {
 	span := now - a.now
 	if span <= 0 {
@@ -211,6 +224,7 @@
 	// An abandoned request ran for at least its elapsed time; shorter ones, such as failed connections, tell nothing.
 	if f.Completed || elapsed > e.queue.service.mean && e.queue.service.samples > 0 {
 		e.queue.service.observe(a.now, elapsed)
+		a.service.observe(a.now, elapsed)
 	}
 	e.queue.settle(e, a.now)
 	a.alone.finish(a.now, e)
--- a/attendant/configuration.go
+++ b/attendant/configuration.go
@@ -9,6 +9,7 @@
 	"hibiscusline/matcher"
 	"hibiscusline/platform"
 	"hibiscusline/registrar"
+	"hibiscusline/timer"
 )
 
 // configuration is a published configuration and its document, which other processes may ask for.
@@ -42,7 +43,7 @@
 	next, loaded := uint64(0), false
 	for ctx.Err() == nil {
 		if loaded && a.delegates.Load() {
-			if !pause(ctx, delegationCheck) {
+			if !timer.Sleep(ctx, delegationCheck) {
 				return
 			}
 			continue
@@ -74,7 +75,7 @@
 		case err != nil:
 			a.storeReach.lost(err)
 			loaded = false
-			if !pause(ctx, storePause) {
+			if !timer.Sleep(ctx, storePause) {
 				return
 			}
 		}
@@ -83,7 +84,7 @@
 				a.takeConfiguration(e.Value, "store")
 			}
 		}
-		if len(entries) > 0 && !pause(ctx, gatherConfigurations) {
+		if len(entries) > 0 && !timer.Sleep(ctx, gatherConfigurations) {
 			return
 		}
 	}
--- a/attendant/plan.go
+++ b/attendant/plan.go
@@ -22,8 +22,10 @@
 	settleTime = 700 * time.Millisecond
 	// suspectAfter is the time for which an owner is unreachable before it is suspected.
 	suspectAfter = 1200 * time.Millisecond
-	// suspectMargin covers the drift of clocks over a lease.
+	// suspectMargin covers what clocks of different instances differ in beyond their rates.
 	suspectMargin = 300 * time.Millisecond
+	// clockDrift is how much faster than the suspect's the clock of the process that waits for the end of its lease may run.
+	clockDrift = 1.02
 )
 
 // planLoop changes the assignment of the keys of the process's own service when it is due.
@@ -63,7 +65,7 @@
 			next, _ := a.nextTable(v)
 			return next
 		})
-		if err != nil && !pause(ctx, storePause) {
+		if err != nil && !timer.Sleep(ctx, storePause) {
 			return
 		}
 	}
@@ -118,7 +120,7 @@
 func (a *Attendant) planView(v *registrar.View) assigner.View {
 	service := a.settings.Service
 	view := assigner.View{
-		Service: service, LeaseTerm: leaseTerm(a.bounds.MaxHold)*51/50 + suspectMargin,
+		Service: service, LeaseTerm: time.Duration(clockDrift*float64(leaseTerm(a.bounds.MaxHold))) + suspectMargin,
 		SuspectedFor: func(s assigner.Suspicion) time.Duration {
 			a.applying.Lock()
 			defer a.applying.Unlock()
--- a/attendant/publish.go
+++ b/attendant/publish.go
@@ -10,6 +10,7 @@
 	"hibiscusline/assigner"
 	"hibiscusline/platform"
 	"hibiscusline/registrar"
+	"hibiscusline/timer"
 )
 
 var errWrongAddress = errors.New("heartbeat: the address isn't that of the server beside the process")
@@ -49,7 +50,7 @@
 		if !errors.Is(err, platform.ErrConflict) {
 			return errors.Wrap(err, why)
 		}
-		if !pause(ctx, rand.N(conflictPause)) {
+		if !timer.Sleep(ctx, rand.N(conflictPause)) {
 			return errors.Wrap(ctx.Err(), why)
 		}
 		if err := a.catchUp(ctx, v.End); err != nil {
@@ -93,7 +94,7 @@
 		}
 		if err := a.publishOnce(ctx); err != nil {
 			_ = a.logger.Log("event", "publish_failed", "error", err)
-			if !pause(ctx, storePause) {
+			if !timer.Sleep(ctx, storePause) {
 				return
 			}
 			signal(a.publish)
--- a/attendant/records.go
+++ b/attendant/records.go
@@ -36,17 +36,6 @@
 	gatherConfigurations = 250 * time.Millisecond
 )
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // followRecords learns of the system's own records for as long as the process runs: by reads of the store, or from a process
 // of its zone that reads the store.
 func (a *Attendant) followRecords(ctx context.Context) {
@@ -65,13 +54,13 @@
 			if errors.Is(err, platform.ErrExpired) {
 				loaded, err = false, nil
 			}
-			if err == nil && count > 0 && !pause(ctx, a.gather()) {
+			if err == nil && count > 0 && !timer.Sleep(ctx, a.gather()) {
 				return
 			}
 		}
 		if err != nil {
 			a.storeReach.lost(err)
-			if !pause(ctx, storePause) {
+			if !timer.Sleep(ctx, storePause) {
 				return
 			}
 			continue
--- a/attendant/sync.go
+++ b/attendant/sync.go
@@ -46,7 +46,7 @@
 // gossip synchronizes with other processes, one at a time. A process that the store turns away learns by it what is new,
 // and a process that has just started and knows nobody is found by the others.
 func (a *Attendant) gossip(ctx context.Context) {
-	for pause(ctx, gossipInterval+rand.N(gossipInterval/4)) {
+	for timer.Sleep(ctx, gossipInterval+rand.N(gossipInterval/4)) {
 		peer, found := a.randomPeer()
 		if !found {
 			continue
--- a/attendant/watch.go
+++ b/attendant/watch.go
@@ -52,7 +52,7 @@
 
 // watchServer looks for a server whose heartbeats are missing or that has said that it ends.
 func (a *Attendant) watchServer(ctx context.Context) {
-	for pause(ctx, watchInterval) {
+	for timer.Sleep(ctx, watchInterval) {
 		a.mu.Lock()
 		s, lapse := a.server, a.granter.Lapse()
 		a.mu.Unlock()
--- a/gatekeeper/admit.go
+++ b/gatekeeper/admit.go
@@ -76,7 +76,7 @@
 	g.step(admitter.Cancel{ID: id})
 	g.mu.Unlock()
 	if _, refused := refusal(<-action); !refused {
-		g.finish(id, false, 0)
+		g.finish(id, false)
 	}
 	return Result{Outcome: NotRun, Reason: CallerGone}, true
 }
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -51,7 +51,6 @@
 	waiting  map[uint64]chan admitter.Action
 	lastID   uint64
 	running  int
-	service  time.Duration
 	ticking  bool
 	arrivals arrivals
 	silence  carrier.Silence
@@ -115,8 +114,8 @@
 
 func (g *Gatekeeper) load() Load {
 	return Load{
-		Running: g.running, Waiting: len(g.waiting), Slots: g.server.Slots, Service: g.service,
-		Offered: g.arrivals.rate(timer.Now()) * g.service.Seconds() / float64(max(g.server.Slots, 1)),
+		Running: g.running, Waiting: len(g.waiting), Slots: g.server.Slots, Service: g.admitter.Service(),
+		Offered: g.arrivals.rate(timer.Now()) * g.admitter.Service().Seconds() / float64(max(g.server.Slots, 1)),
 	}
 }
 
@@ -166,7 +165,7 @@
 	// The keys may have moved while the request waited.
 	server, r, refused := g.recheck(j)
 	if refused {
-		g.finish(id, false, 0)
+		g.finish(id, false)
 		return r
 	}
 	g.mu.Lock()
@@ -179,7 +178,7 @@
 		g.noteSize(j.Rank, len(r.Response.Body))
 	}
 	g.mu.Unlock()
-	g.finish(id, r.Outcome == Answered, timer.Now()-started)
+	g.finish(id, r.Outcome == Answered)
 	return r
 }
 
@@ -200,7 +199,7 @@
 		return s, Result{Outcome: NotRun, Reason: reason, RetryAfter: refuseAfter}, true
 	}
 	g.mu.Lock()
-	silent := g.silence.Silent(now, max(silentAfter, silentServices*g.service))
+	silent := g.silence.Silent(now, max(silentAfter, silentServices*g.admitter.Service()))
 	g.mu.Unlock()
 	switch {
 	case silent:
@@ -217,18 +216,9 @@
 	return s, Result{}, false
 }
 
-// serviceWeight is the weight of one request in the average service time.
-const serviceWeight = 0.05
-
-func (g *Gatekeeper) finish(id uint64, completed bool, elapsed time.Duration) {
+func (g *Gatekeeper) finish(id uint64, completed bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.running--
-	switch {
-	case completed && g.service == 0:
-		g.service = elapsed
-	case completed:
-		g.service += time.Duration(serviceWeight * float64(elapsed-g.service))
-	}
 	g.step(admitter.Finish{ID: id, Completed: completed})
 }
--- a/matcher/matcher.go
+++ b/matcher/matcher.go
@@ -153,17 +153,3 @@
 	}
 	return split[len(split)-1].Service
 }
-
-// Ranks returns one route of each rank, the most urgent first.
-func (t *Table) Ranks() []*Route {
-	seen := map[string]bool{}
-	var list []*Route
-	for i := range t.Routes {
-		if name := t.Routes[i].Rank(); !seen[name] {
-			seen[name] = true
-			list = append(list, &t.Routes[i])
-		}
-	}
-	slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(a.Priority, b.Priority) })
-	return list
-}
--- a/matcher/matcher_test.go
+++ b/matcher/matcher_test.go
@@ -1,6 +1,7 @@
 package matcher_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -54,9 +55,23 @@
 	}
 }
 
-// TestRanks guards against work of one urgency and target that is kept in several queues, and against a wrong order.
+// TestRanks guards against work of one urgency and target that is kept in several queues, and against queues that mix work of
+// different ones.
 func TestRanks(t *testing.T) {
-	ranks := matcher.New(configuration(), 0).Ranks()
+	c := configuration()
+	var ranks []string
+	for i := range c.Routes {
+		if name := c.Routes[i].Rank(); !slices.Contains(ranks, name) {
+			ranks = append(ranks, name)
+		}
+	}
 	require.Len(t, ranks, 3)
-	require.Equal(t, "2-idempotent-1000", ranks[2].Rank())
+	require.Contains(t, ranks, "2-idempotent-1000")
+	r := c.Routes[0]
+	r.Name, r.Prefix, r.Attempts, r.Split = "other", "/other/", 7, nil
+	require.Equal(t, c.Routes[0].Rank(), r.Rank())
+	r.Target++
+	require.Equal(t, c.Routes[0].Rank(), r.Rank(), "targets are told apart by the millisecond")
+	r.Target += time.Millisecond
+	require.NotEqual(t, c.Routes[0].Rank(), r.Rank())
 }
--- /dev/null
+++ b/timer/sleep.go
@@ -0,0 +1,18 @@
+package timer
+
+import (
+	"context"
+	"time"
+)
+
+// Sleep waits for a duration. It reports false if the context ended first.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
