attendant: a large configuration comes from the store, not from a process that reads it for others

Each reader passed the document on to some five others over a link of 10 Mbit/s, all at once. Ruled out: the readers themselves (they had it in time); the wait of the others for news (0.7 s at most). Change: a process passes documents on unasked up to 16 KiB. A process that hears of a newer version reads the store; if it has nothing from there after 1 s, it asks others for the whole document, so one that the store turns away gets it too. Test: TestLargeConfiguration; it fails when documents of any size are passed on.

--- a/attendant/attendant.go
+++ b/attendant/attendant.go
@@ -58,8 +58,11 @@
 
 	stopping atomic.Bool
 	// delegates means that other processes read the store for this one. The delegator belongs to the loop that follows records.
-	delegates  atomic.Bool
-	delegator  *delegator.Delegator
+	delegates atomic.Bool
+	delegator *delegator.Delegator
+	// configNews says that another process knows a newer configuration, and heardAt since when, or zero.
+	configNews chan struct{}
+	heardAt    atomic.Int64
 	configDoc  atomic.Pointer[configuration]
 	storeReach dependency
 	// refreshed is the time of the latest refreshFrom.
@@ -115,6 +118,7 @@
 		config: c, settings: s, bounds: bounds, logs: logs, logger: newLogger(logs, s.Name), started: timer.Now(),
 		store: platform.NewStore(s.Store), registrar: registrar.New(), metrics: newMeters(),
 		suspected: map[suspicionKey]time.Duration{}, changed: make(chan struct{}, 1), publish: make(chan struct{}, 1),
+		configNews: make(chan struct{}, 1),
 	}
 	a.loadedSettings = s
 	a.heartbeat.Store(int64(s.Heartbeat))
--- a/attendant/delegate_test.go
+++ b/attendant/delegate_test.go
@@ -1,6 +1,7 @@
 package attendant_test
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -58,3 +59,32 @@
 	}
 	require.Len(t, left, 5)
 }
+
+// TestLargeConfiguration guards against processes that send a large configuration to many others over slow links, and against
+// one that the store turns away and that never gets it.
+func TestLargeConfiguration(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 1, 6)
+	s.await("some processes leave the reads to others", func() bool { return len(s.delegating()) == 3 })
+	refused := s.nodes[3]
+	refused.endProcess()
+	refused.settings.Store = s.address()
+	s.startProcess(refused)
+	routes := []imitator.Route{{Name: "stock", Prefix: "/stock/", Kind: "idempotent", Service: "stock"}}
+	for i := range 1500 {
+		routes = append(routes, imitator.Route{Name: fmt.Sprint("r", i), Prefix: fmt.Sprintf("/r%d/", i), Kind: "idempotent", Service: "orders"})
+	}
+	require.NoError(t, s.store.Publish(2, "h", routes, map[string]bool{"stock": true, "orders": false}))
+	for _, n := range s.nodes {
+		s.await("every process knows the new routes", func() bool {
+			return s.send(n, http.MethodGet, "/r1499/1", imitator.NoKey).Status == http.StatusOK
+		})
+	}
+	fromStore := 0
+	for line := range strings.Lines(s.logs.String()) {
+		if strings.Contains(line, "event=configuration version=2") && strings.Contains(line, "source=store") {
+			fromStore++
+		}
+	}
+	require.Equal(t, len(s.nodes)-1, fromStore)
+}
--- a/attendant/sync.go
+++ b/attendant/sync.go
@@ -39,7 +39,7 @@
 	Held    int64
 	Entries []registrar.Entry
 	Version uint64
-	// Document is the configuration, if it is newer than the asking process's.
+	// Document is the configuration, if it is newer than the asking process's and small, or was asked for.
 	Document []byte
 }
 
@@ -94,6 +94,7 @@
 	query := url.Values{
 		"from": {strconv.FormatUint(a.registrar.View().End, 10)}, "version": {strconv.FormatUint(a.version(), 10)},
 		"peer": {a.own.Peer.String()}, "wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
+		"document": {strconv.FormatBool(a.wantsDocument())},
 	}
 	q := &carrier.Request{Method: http.MethodGet, Target: syncPath + "?" + query.Encode(), Host: peer.String(), Header: http.Header{}}
 	r, err := a.peers.Ask(ctx, peer, q)
@@ -113,6 +114,7 @@
 	if len(n.Document) > 0 {
 		a.takeConfiguration(n.Document, peer.String())
 	}
+	a.hearOfVersion(n.Version)
 	return age, nil
 }
 
@@ -184,11 +186,12 @@
 	version, err2 := strconv.ParseUint(query.Get("version"), 10, 64)
 	peer, err3 := netip.ParseAddrPort(query.Get("peer"))
 	wait, err4 := strconv.ParseUint(query.Get("wait_ms"), 10, 32)
-	if err1 != nil || err2 != nil || err3 != nil || err4 != nil {
+	document, err5 := strconv.ParseBool(query.Get("document"))
+	if err1 != nil || err2 != nil || err3 != nil || err4 != nil || err5 != nil {
 		return carrier.NewResponse(http.StatusBadRequest, "malformed query")
 	}
 	a.awaitNews(ctx, from, version, min(time.Duration(wait)*time.Millisecond, maxSyncWait))
-	n := a.newerThan(from, version)
+	n := a.newerThan(from, version, document)
 	n.Held = (timer.Now() - q.Received).Microseconds()
 	if from > n.End || version > n.Version {
 		go func() {
@@ -227,7 +230,9 @@
 	}
 }
 
-func (a *Attendant) newerThan(from, version uint64) syncResponse {
+// newerThan returns what the process knows beyond an end of the records and a version of the configuration, a large document
+// only if it is wanted.
+func (a *Attendant) newerThan(from, version uint64, document bool) syncResponse {
 	a.applying.Lock()
 	defer a.applying.Unlock()
 	n := syncResponse{End: a.registrar.View().End, Age: -1, Version: a.version()}
@@ -237,7 +242,7 @@
 	if n.End > from {
 		n.Entries = a.registrar.Since(from)
 	}
-	if c := a.configDoc.Load(); c != nil && c.version > version {
+	if c := a.configDoc.Load(); c != nil && c.version > version && (document || len(c.document) <= smallDocument) {
 		n.Document = c.document
 	}
 	return n
