assigner: the property test relays reads between processes

What was not modelled: a process learns the table and the age of its proof from another one (docs/platform.md 2), and its lease runs from the start of that one's read. The model now relays tables, proofs and own records at random, to processes that are cut from the store too, unless the receiver knows something newer.

--- a/assigner/property_test.go
+++ b/assigner/property_test.go
@@ -1,6 +1,7 @@
 package assigner_test
 
 import (
+	"maps"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -43,6 +44,11 @@
 	epoch   int
 	server  *server
 	known   map[assigner.Suspicion]time.Duration
+	// end is the number of changes of the store that the process knows, proof the time at which the read that showed the last
+	// of them began, here or at the process that passed it on, and records the processes' own records that it showed.
+	end     int
+	proof   time.Duration
+	records map[string]published
 	// onWay is a record of the process that is on its way to the store.
 	onWay *published
 }
@@ -56,10 +62,12 @@
 
 // world is a small system: a store, processes and servers, under a common clock.
 type world struct {
-	t            *rapid.T
-	random       *rand.Rand
-	now          time.Duration
-	stored       *assigner.Table
+	t      *rapid.T
+	random *rand.Rand
+	now    time.Duration
+	stored *assigner.Table
+	// changes counts the changes of the table and of the processes' own records.
+	changes      int
 	incarnations map[string]published
 	processes    []*process
 	// tokens holds who had each slice last, and under which token.
@@ -92,7 +100,7 @@
 }
 
 func (w *world) startProcess(p *process) {
-	p.alive, p.ended, p.table = true, false, nil
+	p.alive, p.ended, p.table, p.end, p.records = true, false, nil, 0, nil
 	p.epoch++
 	p.known = map[assigner.Suspicion]time.Duration{}
 	p.granter = granter.New(granter.Config{
@@ -101,20 +109,39 @@
 	p.granter.Revoke()
 }
 
+// change stores the next table.
+func (w *world) change(next *assigner.Table) {
+	w.stored = next
+	w.changes++
+}
+
 // read gives a process the stored table, as a read that began a while ago.
 func (w *world) read(p *process, took time.Duration) {
 	if !p.alive || p.cut {
 		return
 	}
-	p.table = w.stored
-	p.granter.Observe(p.table, w.now-took)
-	if c, found := w.incarnations[p.name]; found && c.epoch == p.epoch && !c.candidate.Ended && !p.ended {
+	w.learn(p, w.stored, w.changes, w.now-took, maps.Clone(w.incarnations))
+}
+
+// relay lets a process that may be cut from the store learn what another one has read, unless it knows something newer. Its
+// lease then runs from the start of the other's read.
+func (w *world) relay(p, from *process) {
+	if !p.alive || !from.alive || p == from || from.records == nil || from.end < p.end {
+		return
+	}
+	w.learn(p, from.table, from.end, from.proof, from.records)
+}
+
+func (w *world) learn(p *process, t *assigner.Table, end int, proof time.Duration, records map[string]published) {
+	p.table, p.end, p.proof, p.records = t, end, proof, records
+	p.granter.Observe(t, proof)
+	if c, found := records[p.name]; found && c.epoch == p.epoch && !c.candidate.Ended && !p.ended {
 		p.granter.Confirm(c.candidate.Owner.Incarnation, c.revision)
 	}
-	if p.table == nil {
+	if t == nil {
 		return
 	}
-	for _, s := range p.table.Suspects {
+	for _, s := range t.Suspects {
 		if _, known := p.known[s]; !known {
 			p.known[s] = w.now
 		}
@@ -138,6 +165,7 @@
 	}
 	if have, found := w.incarnations[p.name]; !found || have.epoch <= p.onWay.epoch {
 		w.incarnations[p.name] = *p.onWay
+		w.changes++
 	}
 	p.onWay = nil
 }
@@ -165,7 +193,7 @@
 	if len(a.Released) > 0 && !p.cut && p.table == w.stored {
 		owner := assigner.Owner{Member: p.name, Incarnation: s.incarnation}
 		if next := assigner.Release(w.stored, owner, a.Released); next != nil {
-			w.stored = next
+			w.change(next)
 		}
 	}
 	if !a.Renews || w.chance(0.1) {
@@ -228,12 +256,12 @@
 	}
 	if w.stored != nil {
 		if next := assigner.Refute(w.stored, p.name); next != nil {
-			w.stored = next
+			w.change(next)
 			return
 		}
 	}
 	if next := assigner.Plan(w.stored, view); next != nil {
-		w.stored = next
+		w.change(next)
 	}
 }
 
@@ -277,6 +305,9 @@
 	if w.chance(0.5) {
 		w.read(p, time.Duration(w.random.IntN(2500))*time.Millisecond)
 	}
+	if w.chance(0.4) {
+		w.relay(p, w.processes[w.random.IntN(len(w.processes))])
+	}
 	if w.chance(0.6) {
 		w.heartbeat(p)
 	}
@@ -322,7 +353,7 @@
 	}
 	o := w.stored.Owners[w.random.IntN(len(w.stored.Owners))]
 	if next := assigner.Suspect(w.stored, o.Member); next != nil {
-		w.stored = next
+		w.change(next)
 	}
 }
 
@@ -337,7 +368,7 @@
 		return
 	}
 	if next := assigner.Mark(w.stored, from, []assigner.Move{{Slice: w.random.IntN(len(w.stored.Slices)), Target: to}}); next != nil {
-		w.stored = next
+		w.change(next)
 	}
 }
 
--- a/attendant/sync.go
+++ b/attendant/sync.go
@@ -107,7 +107,8 @@
 	}
 	age, proof := time.Duration(n.Age)*time.Microsecond, time.Duration(0)
 	if n.Age >= 0 && n.End >= a.registrar.View().End {
-		// The response was made at least Held after the request left here.
+		// The response was made at least Held after the request left here. The margin of suspicions covers the drift of the
+		// other process's clock over that time.
 		proof = began + time.Duration(n.Held)*time.Microsecond - age
 	}
 	a.apply(n.Entries, n.End, proof)
--- a/launcher/owner_test.go
+++ b/launcher/owner_test.go
@@ -132,10 +132,18 @@
 func (w *trial) awaitOnce(service string) {
 	w.Helper()
 	serial := 0
+	reasons := map[string]int{}
+	defer func() {
+		if w.Failed() {
+			w.Logf("reasons of the refusals: %v", reasons)
+		}
+	}()
 	w.await("answer to a non-repeatable request", func() bool {
 		serial++
 		key := fmt.Sprintf("order-%d", serial%30)
-		return w.ask(w.ctx, w.other("", nil), service, key, "/echo", fmt.Sprintf("once-%d", serial)).answered()
+		a := w.ask(w.ctx, w.other("", nil), service, key, "/echo", fmt.Sprintf("once-%d", serial))
+		reasons[fmt.Sprint(a.outcome, " ", a.reason, " ", a.err)]++
+		return a.answered()
 	})
 }
 
