pacer, forwarder: small responses count on the link, and entries remember links without room

The logs of the first 27 s show the calls end at their entries by the caller's leave (814 in 4 s) or reach the gate too late (895 in 4 s), not refused for lack of slots, and 1,124 probes of processes without answer: the archive's links were still over-full. Large responses took 85% and small ones over 20%; besides, 1,200 refusals for the link a second crossed those links, as each download asked up to four processes. Change: small responses go at once but occupy the link, so that large ones wait for them too, and 96% of the link is planned for. An entry doesn't ask a process again for 80 ms after a refusal for its link, and refuses at once while all are so. A gauge shows the backlog.

--- a/attendant/meters.go
+++ b/attendant/meters.go
@@ -27,6 +27,7 @@
 	a.metrics.set.NewGauge("hibiscus_log_lines_dropped", func() float64 { return float64(a.logs.dropped.Load()) })
 	a.metrics.set.NewGauge("hibiscus_slots_running", func() float64 { return float64(a.gate.Load().Running) })
 	a.metrics.set.NewGauge("hibiscus_requests_waiting", func() float64 { return float64(a.gate.Load().Waiting) })
+	a.metrics.set.NewGauge("hibiscus_link_backlog_seconds", func() float64 { return a.link.Backlog().Seconds() })
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { a.metrics.set.WritePrometheus(w) })
 	mux.HandleFunc("GET /dump", a.serveDump)
 	return mux
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"hibiscusline/balancer"
 	"hibiscusline/carrier"
@@ -11,6 +12,9 @@
 	"hibiscusline/timer"
 )
 
+// busyLinkLife bounds how long a member isn't asked because its link had no room. Each refusal takes part of that link too.
+const busyLinkLife = 80 * time.Millisecond
+
 // pass passes the request to a member and waits for the result.
 func (p *forwarding) pass(ctx context.Context, m registrar.Member) gatekeeper.Result {
 	p.tried = append(p.tried, m.Name)
@@ -28,6 +32,9 @@
 	if r.Load.Slots > 0 {
 		p.service.loads[m.Name] = load{Load: r.Load, at: now}
 	}
+	if r.Reason == gatekeeper.LinkBusy {
+		p.service.busyLinks[linkRank{m.Name, p.match.Rank}] = now + min(r.RetryAfter, busyLinkLife)
+	}
 	if r.Reached {
 		p.sends++
 		if p.sends == 1 {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -80,8 +80,12 @@
 	repeats *retrier.Budget
 	seen    map[string]time.Duration
 	loads   map[string]load
+	// busyLinks holds, for members whose links had no room for a rank's responses, when they are asked again.
+	busyLinks map[linkRank]time.Duration
 }
 
+type linkRank struct{ member, rank string }
+
 type load struct {
 	gatekeeper.Load
 	at time.Duration
@@ -106,7 +110,7 @@
 		s = &service{
 			chooser: balancer.NewChooser(balancer.ChooserConfig{Seed: f.config.Seed, NearBias: nearBias}),
 			resends: retrier.NewBudget(f.config.Resends), repeats: retrier.NewBudget(f.config.Repeats),
-			seen: map[string]time.Duration{}, loads: map[string]load{},
+			seen: map[string]time.Duration{}, loads: map[string]load{}, busyLinks: map[linkRank]time.Duration{},
 		}
 		f.services[name] = s
 	}
--- a/forwarder/forwarding.go
+++ b/forwarder/forwarding.go
@@ -33,6 +33,8 @@
 	// answered is an earlier answer of a server, which was a failure of its own.
 	answered   *gatekeeper.Result
 	lastMember string
+	// linkFree is the earliest time at which a member that was left out for its link is asked again, or zero.
+	linkFree time.Duration
 }
 
 // Bounds of one request.
@@ -68,6 +70,9 @@
 			if hop > 0 {
 				return last
 			}
+			if p.linkFree != 0 {
+				return gatekeeper.Result{Outcome: gatekeeper.NotRun, Reason: gatekeeper.LinkBusy, RetryAfter: max(p.linkFree-timer.Now(), 0)}
+			}
 			return gatekeeper.Result{Outcome: gatekeeper.NotRun, Reason: gatekeeper.NoServer, RetryAfter: unreadyRetryAfter}
 		}
 		last = p.pass(ctx, m)
@@ -143,6 +148,12 @@
 		if m.State != registrar.Ready || m.Stopping || p.wasTried(m.Name) || p.forwarder.config.Peers.DownFor(m.Peer) > 0 {
 			continue
 		}
+		if free := p.service.busyLinks[linkRank{m.Name, p.match.Rank}]; now < free {
+			if p.linkFree == 0 || free < p.linkFree {
+				p.linkFree = free
+			}
+			continue
+		}
 		c := balancer.Candidate{ID: memberID(m.Name), Zone: m.Zone, Slots: m.Slots}
 		seen, known := p.service.seen[m.Name]
 		if !known {
--- a/gatekeeper/link.go
+++ b/gatekeeper/link.go
@@ -90,6 +90,13 @@
 	return l.pacer.Backlog(timer.Now()) + (1+furtherLinks)*span
 }
 
+// Backlog returns how long a large message that arrived now would wait for its turn.
+func (l *Link) Backlog() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.pacer.Backlog(timer.Now())
+}
+
 // linkTargetShare is the part of the target that the work of a request and the way of its response may take together. The rest
 // is for errors of the estimates.
 const linkTargetShare = 0.8
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -8,17 +8,21 @@
 // Large is the number of bytes from which on a message takes turns. Smaller ones go at once: they hardly delay one another.
 const Large = 16 << 10
 
-// linkShare is the part of the link that large messages may use together. The rest is for the small ones.
-const linkShare = 0.85
+const (
+	// linkShare is the part of the link that is planned for. The rest is for what isn't counted: requests, acknowledgements,
+	// packet headers.
+	linkShare = 0.96
+	// overhead is the size of a message's header, which its bytes don't count.
+	overhead = 500
+)
 
 // Pacer gives turns to large messages in the order of their arrival. It is not safe for concurrent use.
 type Pacer struct {
 	// rate is in bytes per second. Zero means that no message waits.
 	rate    float64
 	waiting []turn
-	// current is the message whose bytes are on the link until busy, if there is one.
-	current bool
-	busy    time.Duration
+	// busy is the time until which the bytes that were let onto the link occupy it.
+	busy time.Duration
 	// expected is the number of bytes of messages that will come.
 	expected int
 }
@@ -39,9 +43,14 @@
 	return time.Duration(float64(bytes) / p.rate * float64(time.Second))
 }
 
-// Arrive adds a message that is ready to be sent. It reports true if the message may be sent at once.
+// Arrive adds a message that is ready to be sent. It reports true if the message may be sent at once. Small ones always may,
+// and the next large one waits for them.
 func (p *Pacer) Arrive(now time.Duration, id uint64, bytes int) bool {
-	if p.rate <= 0 || bytes < Large {
+	switch {
+	case p.rate <= 0:
+		return true
+	case bytes < Large:
+		p.occupy(now, bytes)
 		return true
 	}
 	p.waiting = append(p.waiting, turn{id: id, bytes: bytes})
@@ -51,19 +60,19 @@
 
 // Next returns the message whose turn begins, if one does.
 func (p *Pacer) Next(now time.Duration) (id uint64, found bool) {
-	if p.current && now < p.busy {
-		return 0, false
-	}
-	p.current = false
-	if len(p.waiting) == 0 {
+	if now < p.busy || len(p.waiting) == 0 {
 		return 0, false
 	}
 	t := p.waiting[0]
 	p.waiting = p.waiting[1:]
-	p.current, p.busy = true, now+p.span(t.bytes)
+	p.occupy(now, t.bytes)
 	return t.id, true
 }
 
+func (p *Pacer) occupy(now time.Duration, bytes int) {
+	p.busy = max(p.busy, now) + p.span(bytes+overhead)
+}
+
 // Wake returns the time at which Next should be called, if a message waits.
 func (p *Pacer) Wake() (time.Duration, bool) { return p.busy, len(p.waiting) > 0 }
 
@@ -77,13 +86,10 @@
 
 // Backlog returns how long a message that arrived now would wait for its turn, with those that are expected before it.
 func (p *Pacer) Backlog(now time.Duration) time.Duration {
-	left := time.Duration(0)
-	if p.current {
-		left = max(p.busy-now, 0)
-	}
+	left := max(p.busy-now, 0)
 	bytes := p.expected
 	for _, t := range p.waiting {
-		bytes += t.bytes
+		bytes += t.bytes + overhead
 	}
 	return left + p.span(bytes)
 }
@@ -93,5 +99,5 @@
 	if bytes < Large {
 		return 0
 	}
-	return p.span(bytes)
+	return p.span(bytes + overhead)
 }
