pacer: a message that arrives late doesn't take the turn of one that waits

When a large response arrived after the turn of a waiting one had come and before its timer fired, the pacer started the waiting one inside the arrival of the other; nobody woke it, and it was held until its caller left. Change: a message starts on arrival only if none waits. Test: TestLateWake; it fails before.

--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -54,8 +54,12 @@
 		return true
 	}
 	p.waiting = append(p.waiting, turn{id: id, bytes: bytes})
-	started, found := p.Next(now)
-	return found && started == id
+	if len(p.waiting) > 1 {
+		// Those before it are started by Next, which may be called late.
+		return false
+	}
+	_, found := p.Next(now)
+	return found
 }
 
 // Next returns the message whose turn begins, if one does.
--- a/pacer/pacer_test.go
+++ b/pacer/pacer_test.go
@@ -74,6 +74,23 @@
 	}
 }
 
+// TestLateWake guards against a message that is forgotten when another one arrives after its turn has come and before Next is
+// called.
+func TestLateWake(t *testing.T) {
+	p := pacer.New(link)
+	require.True(t, p.Arrive(0, 1, download))
+	require.False(t, p.Arrive(0, 2, download))
+	late := time.Second
+	require.False(t, p.Arrive(late, 3, download))
+	for want := uint64(2); want <= 3; want++ {
+		wake, waits := p.Wake()
+		require.True(t, waits)
+		id, found := p.Next(max(wake, late))
+		require.True(t, found)
+		require.Equal(t, want, id)
+	}
+}
+
 // TestBacklog guards against requests that are admitted although the responses before theirs fill the link until their
 // callers have gone.
 func TestBacklog(t *testing.T) {
