watcher: tell at each send whether the sender of the request has left

Change: package watcher looks at the context and at the connection of a request (poll for the end of the stream behind unread bytes, then a peek). Entry and executor log sender_left with the hop, how it was noticed, the age of the request and how long it waited behind another, and count hibiscus_senders_left_total. Requests are sent as before.

--- a/carrier/conn.go
+++ b/carrier/conn.go
@@ -12,6 +12,9 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"hibiscusline/timer"
+	"hibiscusline/watcher"
 )
 
 const (
@@ -74,7 +77,7 @@
 func newConn(s *Server, nc net.Conn) *conn {
 	c := &conn{server: s, net: nc, limited: limitedReader{source: nc}, pipeline: make(chan struct{}, maxPipelined)}
 	c.reader = bufio.NewReaderSize(&c.limited, readBuffer)
-	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.ctx, c.cancel = context.WithCancel(watcher.WithConn(context.Background(), nc))
 	if a, ok := nc.RemoteAddr().(*net.TCPAddr); ok {
 		c.remote = a.AddrPort()
 	}
@@ -91,10 +94,12 @@
 			c.finish(previous, failure)
 			return
 		}
+		read := timer.Now()
 		if c.server.config.AllowPipelining == nil || !c.server.config.AllowPipelining(q) {
 			<-previous
 		}
 		c.pipeline <- struct{}{}
+		q.Waited = timer.Now() - read
 		if !c.startRequest() {
 			c.finish(previous, nil)
 			return
--- a/carrier/message.go
+++ b/carrier/message.go
@@ -23,6 +23,8 @@
 	Remote  netip.AddrPort
 	// Received is the time at which the request's first byte was read, as timer.Now returns it.
 	Received time.Duration
+	// Waited is how long the request, once read, waited for earlier responses of its connection.
+	Waited time.Duration
 }
 
 // Response is a response with its complete body.
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -13,6 +13,7 @@
 	"hibiscusline/carrier"
 	"hibiscusline/platform"
 	"hibiscusline/timer"
+	"hibiscusline/watcher"
 )
 
 // Config configures an Executor.
@@ -26,6 +27,9 @@
 	// OnConnectionRefused is called when the server's address refuses a connection, which means that the server's
 	// incarnation has ended.
 	OnConnectionRefused func(instance string)
+	// OnSenderLeft is called for each job whose sender has left when the job would be sent to the server. Nil means that
+	// it is only logged.
+	OnSenderLeft func(watcher.Departure)
 }
 
 // Server is the state of the backend server according to its heartbeats.
--- a/executor/send.go
+++ b/executor/send.go
@@ -9,10 +9,14 @@
 	"hibiscusline/carrier"
 	"hibiscusline/platform"
 	"hibiscusline/timer"
+	"hibiscusline/watcher"
 )
 
 // send sends an admitted request to the server once.
 func (g *Executor) send(ctx context.Context, j *Job, s Server) Result {
+	if d := watcher.SenderLeft(ctx); d != watcher.NotNoticed {
+		g.reportSenderLeft(j, d)
+	}
 	if j.Detached {
 		ctx = context.WithoutCancel(ctx)
 	}
@@ -60,3 +64,13 @@
 	}
 	return r
 }
+
+// reportSenderLeft logs and counts a job whose sender has left.
+func (g *Executor) reportSenderLeft(j *Job, d watcher.Departure) {
+	_ = g.config.Logger.Log("event", "sender_left", "id", j.ID, "hop", "server", "noticed", d,
+		"age_ms", (timer.Now() - j.Request.Received).Milliseconds(), "waited_ms", j.Request.Waited.Milliseconds(),
+		"detached", j.Detached)
+	if g.config.OnSenderLeft != nil {
+		g.config.OnSenderLeft(d)
+	}
+}
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -10,6 +10,7 @@
 	"hibiscusline/matcher"
 	"hibiscusline/registrar"
 	"hibiscusline/timer"
+	"hibiscusline/watcher"
 )
 
 // maxBusyLinkDelay bounds how long a member is skipped after its link was saturated. Skipping saves the bandwidth
@@ -71,6 +72,9 @@
 	if m.Name == f.config.Member {
 		return f.config.Local.Run(ctx, p.job)
 	}
+	if d := watcher.SenderLeft(ctx); d != watcher.NotNoticed {
+		p.reportSenderLeft(d)
+	}
 	response, err := f.config.Peers.Exchange(ctx, m.Peer, executor.EncodeJob(p.job))
 	if err != nil {
 		return p.failedExchange(ctx, m, err)
@@ -83,6 +87,16 @@
 	return r
 }
 
+// reportSenderLeft logs and counts a request whose caller has left.
+func (p *forwardedRequest) reportSenderLeft(d watcher.Departure) {
+	f, q := p.forwarder, p.job.Request
+	_ = f.config.Logger.Log("event", "sender_left", "id", p.job.ID, "hop", "entry", "noticed", d,
+		"age_ms", (timer.Now() - q.Received).Milliseconds(), "waited_ms", q.Waited.Milliseconds(), "sends", p.sends)
+	if f.config.OnSenderLeft != nil {
+		f.config.OnSenderLeft(d)
+	}
+}
+
 // failedExchange returns the result of a failed exchange with a peer.
 func (p *forwardedRequest) failedExchange(ctx context.Context, m registrar.Member, err error) executor.Result {
 	if Unsent(err) {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -19,6 +19,7 @@
 	"hibiscusline/registrar"
 	"hibiscusline/retrier"
 	"hibiscusline/timer"
+	"hibiscusline/watcher"
 )
 
 // Config configures a Forwarder.
@@ -38,6 +39,9 @@
 	Refresh func(member string)
 	// Observe is called at the end of each request.
 	Observe func(Summary)
+	// OnSenderLeft is called for each request whose caller has left when the request would be sent to a member. Nil means
+	// that it is only logged.
+	OnSenderLeft func(watcher.Departure)
 }
 
 // Summary describes a completed request of a caller. Sends is the number of servers that may have received it.
--- a/sidecar/meters.go
+++ b/sidecar/meters.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"hibiscusline/forwarder"
+	"hibiscusline/watcher"
 )
 
 // meters holds the counters and histograms of the sidecar.
@@ -20,6 +21,11 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`hibiscus_request_seconds{service=%q,outcome=%q}`, s.Service, s.Outcome)).Update(s.Elapsed.Seconds())
 }
 
+// senderLeft counts a request whose sender had left when the request would be sent over a hop.
+func (m *meters) senderLeft(hop string, d watcher.Departure) {
+	m.count(fmt.Sprintf(`hibiscus_senders_left_total{hop=%q,noticed=%q}`, hop, d))
+}
+
 func (m *meters) count(name string) { m.set.GetOrCreateCounter(name).Inc() }
 
 func (a *Sidecar) metricsHandler() http.Handler {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -22,6 +22,7 @@
 	"hibiscusline/registrar"
 	"hibiscusline/retrier"
 	"hibiscusline/timer"
+	"hibiscusline/watcher"
 )
 
 // Config configures a Sidecar.
@@ -140,12 +141,14 @@
 	a.executor = executor.New(executor.Config{
 		Backend: s.Backend, Logger: a.logger, Permits: a.permits,
 		OnConnectionRefused: a.handleConnectionRefused, Link: a.link,
+		OnSenderLeft: func(d watcher.Departure) { a.metrics.senderLeft("server", d) },
 	})
 	a.forwarder = forwarder.New(forwarder.Config{
 		Member: s.Name, Zone: s.Zone, Service: s.Service, View: a.registrar.View, Local: a.executor, Peers: a.peers,
 		Logger: a.logger, TransparentRetries: a.retryBudget(transparentRetryShare), Retries: a.retryBudget(retryShare),
 		Seed:    rand.Uint64(),
 		Observe: a.metrics.request, Refresh: a.refreshFrom,
+		OnSenderLeft: func(d watcher.Departure) { a.metrics.senderLeft("entry", d) },
 	})
 	a.callerServer = carrier.NewServer(carrier.ServerConfig{
 		Limits: a.limits, Handle: a.serveCaller, AllowPipelining: a.forwarder.AllowPipelining,
