carrier, executor, forwarder: failing tests for requests that are sent on after their callers left

The pool of the carrier's tests keeps 32 idle connections instead of 4, so that each of the 20 callers meets one.

--- a/carrier/carrier_test.go
+++ b/carrier/carrier_test.go
@@ -211,7 +211,7 @@
 
 func newPool() *carrier.Pool {
 	return carrier.NewPool(carrier.PoolConfig{
-		ConnectTimeout: time.Second, IdleTimeout: time.Minute, MaxIdle: 4, MaxBody: 1 << 20,
+		ConnectTimeout: time.Second, IdleTimeout: time.Minute, MaxIdle: 32, MaxBody: 1 << 20,
 		Matches: func(q *carrier.Request, h http.Header) bool { return h.Get("Id") == q.Header.Get("Id") },
 	})
 }
--- /dev/null
+++ b/carrier/departure_test.go
@@ -0,0 +1,120 @@
+package carrier_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscusline/carrier"
+)
+
+// startEchoServer starts a server that responds to all requests. It returns its address and the number of requests that
+// it has read.
+func startEchoServer(t *testing.T) (netip.AddrPort, *atomic.Int32) {
+	t.Helper()
+	return startScriptedServer(t, func(c net.Conn, r *bufio.Reader, n *atomic.Int32) {
+		for {
+			q, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			n.Add(1)
+			if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 0\r\n\r\n", q.Header.Get("Id")); err != nil {
+				return
+			}
+		}
+	})
+}
+
+// openIdle opens a number of idle connections of a pool.
+func openIdle(t *testing.T, p *carrier.Pool, to netip.AddrPort, count int) {
+	t.Helper()
+	var group sync.WaitGroup
+	for p.ConnectionsOpened() < uint64(count) {
+		for range count {
+			group.Go(func() {
+				_, err := p.Exchange(t.Context(), to, newRequest("idle"))
+				require.NoError(t, err)
+			})
+		}
+		group.Wait()
+	}
+}
+
+// TestSentAfterCallerLeft guards against requests that are sent on although their caller closed the connection before
+// they were read (GONE).
+func TestSentAfterCallerLeft(t *testing.T) {
+	const get, post = "GET / HTTP/1.1\r\nHost: h\r\n\r\n", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx"
+	for name, text := range map[string]string{"one request": get, "pipelined": get + get + get, "runs once": post} {
+		t.Run(name, func(t *testing.T) {
+			backend, requests := startEchoServer(t)
+			pool := newPool()
+			const callers = 20
+			openIdle(t, pool, backend, callers)
+			l, err := net.Listen("tcp4", "127.0.0.1:0")
+			require.NoError(t, err)
+			t.Cleanup(func() { _ = l.Close() })
+			// The connections wait in the listen queue, as they do while a process is short of processor time.
+			for range callers {
+				c := dial(t, netip.MustParseAddrPort(l.Addr().String()))
+				_, err := c.Write([]byte(text))
+				require.NoError(t, err)
+				require.NoError(t, c.Close())
+			}
+			s := carrier.NewServer(carrier.ServerConfig{
+				Limits: testLimits, AllowPipelining: func(*carrier.Request) bool { return true },
+				Handle: func(ctx context.Context, q *carrier.Request) *carrier.Response {
+					q.Header.Set("Id", "late")
+					r, _ := pool.Exchange(ctx, backend, q)
+					return r
+				},
+			})
+			go func() { _ = s.Serve(l) }() // Serve returns when the listener is closed.
+			c := dial(t, netip.MustParseAddrPort(l.Addr().String()))
+			_, err = c.Write([]byte(get))
+			require.NoError(t, err)
+			_, err = http.ReadResponse(bufio.NewReader(c), nil)
+			require.NoError(t, err, "a caller that stays is served")
+			require.Eventually(t, func() bool { return s.InFlight() == 0 }, 10*time.Second, time.Millisecond)
+			time.Sleep(50 * time.Millisecond)
+			require.EqualValues(t, callers+1, requests.Load(), "only the requests of callers that stay are sent")
+		})
+	}
+}
+
+// TestCallerLeavesWhileNextWaits guards against a caller that leaves unnoticed while its next request waits for the one
+// ahead of it, and against that next request being handled afterwards (GONE).
+func TestCallerLeavesWhileNextWaits(t *testing.T) {
+	started, ended := make(chan string, 2), make(chan error, 2)
+	s, address := startServer(t, carrier.ServerConfig{Handle: func(
+		ctx context.Context, q *carrier.Request,
+	) *carrier.Response {
+		started <- q.Target
+		select {
+		case <-ctx.Done():
+		case <-time.After(5 * time.Second):
+		}
+		ended <- ctx.Err()
+		return nil
+	}})
+	c := dial(t, address)
+	for i := range 2 {
+		_, err := fmt.Fprintf(c, "GET /%d HTTP/1.1\r\nHost: h\r\n\r\n", i)
+		require.NoError(t, err)
+	}
+	require.Equal(t, "/0", <-started)
+	require.NoError(t, c.Close())
+	require.ErrorIs(t, <-ended, context.Canceled, "the first request is cancelled when its caller leaves")
+	require.Eventually(t, func() bool { return s.InFlight() == 0 }, 10*time.Second, time.Millisecond)
+	time.Sleep(50 * time.Millisecond)
+	require.Empty(t, started, "the next request is not handled")
+}
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -188,3 +188,29 @@
 	_, err = executor.DecodeResult(carrier.NewResponse(http.StatusOK, "another server's answer"))
 	require.Error(t, err)
 }
+
+// TestSentAfterSenderLeft guards against jobs that are sent to the server although their sender has left, among them those
+// that may run only once and therefore outlive their sender once they are sent (GONE).
+func TestSentAfterSenderLeft(t *testing.T) {
+	var reached atomic.Int32
+	g := newExecutor(t, 1, func(w http.ResponseWriter, r *http.Request) {
+		reached.Add(1)
+		respond(w, r)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	const jobs = 20
+	for range jobs {
+		for _, detached := range []bool{false, true} {
+			stays := g.Run(context.Background(), newJob("stays", 20*time.Second))
+			require.Equal(t, executor.Answered, stays.Outcome, "leaves an idle connection")
+			j := newJob("left", 20*time.Second)
+			j.Detached = detached
+			r := g.Run(ctx, j)
+			require.Equal(t, executor.NotRun, r.Outcome)
+			require.Equal(t, executor.CallerDisconnected, r.Reason)
+		}
+	}
+	require.EqualValues(t, 2*jobs, reached.Load())
+	require.Zero(t, g.Load().Running, "the slots are free again")
+}
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -208,3 +208,51 @@
 	require.EqualValues(t, 1, f.requests.Load(), "none of them ran")
 	require.Less(t, strings.Count(lines.String(), "event=job"), 20, "most requests are refused without a new attempt")
 }
+
+// TestSentAfterCallerLeft guards against requests that the entry sends to a member, or sends again, although their caller
+// has left, and against a member that is taken for unreachable because of that (GONE).
+func TestSentAfterCallerLeft(t *testing.T) {
+	var requests atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		requests.Add(1)
+		r := executor.EncodeResult(executor.Result{Outcome: executor.NotRun, Reason: executor.Overloaded})
+		for name, values := range r.Header {
+			w.Header()[name] = values
+		}
+		w.WriteHeader(r.Status)
+	}))
+	t.Cleanup(server.Close)
+	peer := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	f := newFixture(t, matcher.Idempotent, false, func(http.ResponseWriter, *http.Request) {})
+	peers := forwarder.NewPeers(forwarder.PeersConfig{
+		Probe:    func(context.Context, netip.AddrPort) error { return nil },
+		OnChange: func(netip.AddrPort, bool, time.Duration) { t.Error("the member is reachable") },
+	})
+	remote := registrar.Member{
+		Name: "two", Service: "stock", State: registrar.Ready, Slots: 2, Peer: peer, Incarnation: assigner.Incarnation{Instance: "i-2"},
+	}
+	view := &registrar.View{
+		Members: map[string]registrar.Member{"two": remote}, ByService: map[string][]registrar.Member{"stock": {remote}},
+	}
+	entry := forwarder.New(forwarder.Config{
+		Member: "one", Service: "stock", View: func() *registrar.View { return view }, Local: f.executor, Peers: peers,
+		Logger: log.NewNopLogger(), TransparentRetries: retrier.Config{Share: 1, Burst: 10}, Retries: retrier.Config{Share: 1, Burst: 10},
+	})
+	entry.SetRoutes(f.forwarder.Routes())
+	send := func(ctx context.Context) *carrier.Response {
+		return entry.Handle(ctx, &carrier.Request{
+			Method: http.MethodGet, Target: "/x", Host: "h", Received: timer.Now(),
+			Header: simulator.CallHeader("a", 800*time.Millisecond, simulator.NoKey),
+		})
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	const callers = 20
+	for range callers {
+		require.Equal(t, http.StatusServiceUnavailable, send(context.Background()).Status, "leaves an idle connection")
+		send(ctx)
+	}
+	time.Sleep(50 * time.Millisecond)
+	require.EqualValues(t, callers, requests.Load())
+	require.Zero(t, peers.DownFor(peer))
+}
