carrier: don't send a request whose sender has left

What callers saw: GONE. Cause: nothing looked at the sender between the read of a request and its first byte on the next connection. A process that is short of processor time reads a request together with the close behind it: its context is cancelled at once, but with an idle connection at hand Exchange wrote the request before the cancelled context could stop it. A job that may run only once was detached from its context before its connection was open, so it ran to its end. Change: Exchange looks at the context and at the connection of the sender right before it writes. All paths send through it: entry, executor, retries, queue, kept and pipelined connections. Detaching happens there too, after that look. A member is not taken for unreachable because a caller left.

--- a/carrier/departure_test.go
+++ b/carrier/departure_test.go
@@ -60,6 +60,7 @@
 			pool := newPool()
 			const callers = 20
 			openIdle(t, pool, backend, callers)
+			before := requests.Load()
 			l, err := net.Listen("tcp4", "127.0.0.1:0")
 			require.NoError(t, err)
 			t.Cleanup(func() { _ = l.Close() })
@@ -86,7 +87,7 @@
 			require.NoError(t, err, "a caller that stays is served")
 			require.Eventually(t, func() bool { return s.InFlight() == 0 }, 10*time.Second, time.Millisecond)
 			time.Sleep(50 * time.Millisecond)
-			require.EqualValues(t, callers+1, requests.Load(), "only the requests of callers that stay are sent")
+			require.EqualValues(t, before+1, requests.Load(), "only the requests of callers that stay are sent")
 		})
 	}
 }
@@ -118,3 +119,48 @@
 	time.Sleep(50 * time.Millisecond)
 	require.Empty(t, started, "the next request is not handled")
 }
+
+// TestDetachedExchange guards against a request that is cancelled with its caller although it may run only once and was
+// sent, and against one that is sent although its caller left before (GONE).
+func TestDetachedExchange(t *testing.T) {
+	received, respond := make(chan struct{}), make(chan struct{})
+	address, requests := startScriptedServer(t, func(c net.Conn, r *bufio.Reader, n *atomic.Int32) {
+		for {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			n.Add(1)
+			received <- struct{}{}
+			<-respond
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	q := newRequest("a")
+	q.Detached = true
+	pool := newPool()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	result := make(chan error, 1)
+	go func() {
+		_, err := pool.Exchange(ctx, address, q)
+		result <- err
+	}()
+	<-received
+	cancel()
+	time.Sleep(20 * time.Millisecond)
+	close(respond)
+	require.NoError(t, <-result)
+	for range 20 {
+		_, err := pool.Exchange(ctx, address, q)
+		var failed *carrier.ExchangeError
+		require.ErrorAs(t, err, &failed)
+		require.False(t, failed.Sent)
+	}
+	require.EqualValues(t, 1, requests.Load())
+	overdue, cancelOverdue := context.WithTimeout(t.Context(), time.Millisecond)
+	defer cancelOverdue()
+	<-overdue.Done()
+	_, err := pool.Exchange(overdue, address, q)
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	require.EqualValues(t, 1, requests.Load())
+}
--- a/carrier/message.go
+++ b/carrier/message.go
@@ -25,6 +25,9 @@
 	Received time.Duration
 	// Waited is how long the request, once read, waited for earlier responses of its connection.
 	Waited time.Duration
+	// Detached means that the exchange, once the request is sent, continues after its context is cancelled. The deadline
+	// of the context still ends it.
+	Detached bool
 }
 
 // Response is a response with its complete body.
--- a/carrier/pool.go
+++ b/carrier/pool.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"hibiscusline/timer"
+	"hibiscusline/watcher"
 )
 
 // PoolConfig configures a Pool.
@@ -54,6 +55,14 @@
 // requests instead of its own.
 var ErrMalformedResponse = errors.New("malformed response")
 
+// SenderLeftError is the cause of an exchange that wasn't started because the sender of the request has left.
+type SenderLeftError struct{ Noticed watcher.Departure }
+
+// Error tells how it was noticed that the sender has left.
+func (e *SenderLeftError) Error() string {
+	return "the sender of the request has left: " + e.Noticed.String()
+}
+
 // Pool sends requests over persistent connections. It is safe for concurrent use.
 type Pool struct {
 	config PoolConfig
@@ -86,12 +95,22 @@
 }
 
 // Exchange sends a request once and returns the response. If ctx ends first, it closes the connection, which tells the
-// other end to stop. Errors are of type *ExchangeError.
+// other end to stop. A request whose sender has left, as package watcher tells, isn't sent. Errors are of type
+// *ExchangeError.
 func (p *Pool) Exchange(ctx context.Context, to netip.AddrPort, q *Request) (*Response, error) {
 	c, err := p.getConn(ctx, to)
 	if err != nil {
 		return nil, &ExchangeError{Cause: err}
 	}
+	if err := checkSender(ctx); err != nil {
+		p.putConn(to, c)
+		return nil, &ExchangeError{Cause: err}
+	}
+	if q.Detached {
+		detached, cancel := detach(ctx)
+		defer cancel()
+		ctx = detached
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.net.SetDeadline(time.Unix(1, 0)) })
 	x := exchange{pool: p, conn: c, request: q}
 	r, reusable, err := x.roundTrip()
@@ -112,6 +131,23 @@
 	return r, nil
 }
 
+// checkSender returns an error if the sender of a request has left or the request's deadline has passed.
+func checkSender(ctx context.Context) error {
+	if d := watcher.SenderLeft(ctx); d != watcher.NotNoticed {
+		return &SenderLeftError{Noticed: d}
+	}
+	return ctx.Err()
+}
+
+// detach returns a context that ends at the deadline of ctx, but not when ctx is cancelled.
+func detach(ctx context.Context) (context.Context, context.CancelFunc) {
+	detached := context.WithoutCancel(ctx)
+	if deadline, ok := ctx.Deadline(); ok {
+		return context.WithDeadline(detached, deadline)
+	}
+	return context.WithCancel(detached)
+}
+
 // getConn returns an idle connection that is still usable, or else opens one.
 func (p *Pool) getConn(ctx context.Context, to netip.AddrPort) (*poolConn, error) {
 	for {
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -27,8 +27,7 @@
 	// OnConnectionRefused is called when the server's address refuses a connection, which means that the server's
 	// incarnation has ended.
 	OnConnectionRefused func(instance string)
-	// OnSenderLeft is called for each job whose sender has left when the job would be sent to the server. Nil means that
-	// it is only logged.
+	// OnSenderLeft is called for each job that isn't sent to the server because its sender has left.
 	OnSenderLeft func(watcher.Departure)
 }
 
@@ -88,6 +87,9 @@
 	if c.Link == nil {
 		c.Link = NewLink(0)
 	}
+	if c.OnSenderLeft == nil {
+		c.OnSenderLeft = func(watcher.Departure) {}
+	}
 	return &Executor{
 		config: c,
 		pool: carrier.NewPool(carrier.PoolConfig{
--- a/executor/send.go
+++ b/executor/send.go
@@ -9,22 +9,15 @@
 	"hibiscusline/carrier"
 	"hibiscusline/platform"
 	"hibiscusline/timer"
-	"hibiscusline/watcher"
 )
 
 // send sends an admitted request to the server once.
 func (g *Executor) send(ctx context.Context, j *Job, s Server) Result {
-	if d := watcher.SenderLeft(ctx); d != watcher.NotNoticed {
-		g.reportSenderLeft(j, d)
-	}
-	if j.Detached {
-		ctx = context.WithoutCancel(ctx)
-	}
 	remaining := j.Deadline - timer.Now()
 	ctx, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
 	q := *j.Request
-	q.Header = q.Header.Clone()
+	q.Header, q.Detached = q.Header.Clone(), j.Detached
 	platform.SetBackendHeader(q.Header, remaining, s.Instance)
 	response, err := g.pool.Exchange(ctx, g.config.Backend, &q)
 	if err != nil {
@@ -48,29 +41,26 @@
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			g.config.OnConnectionRefused(s.Instance)
 		}
-		if ctx.Err() != nil {
+		if left := new(carrier.SenderLeftError); errors.As(err, &left) {
+			g.config.OnSenderLeft(left.Noticed)
+			return Result{Outcome: NotRun, Reason: CallerDisconnected}
+		}
+		switch ctx.Err() {
+		case context.Canceled:
 			return Result{Outcome: NotRun, Reason: CallerDisconnected}
+		case context.DeadlineExceeded:
+			return Result{Outcome: NotRun, Reason: DeadlinePassed}
 		}
 		return Result{Outcome: NotRun, Reason: ConnectionFailed, RetryAfter: defaultRetryAfter}
 	}
 	r := Result{Outcome: Unknown, Reason: ConnectionLost, Reached: true}
 	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case errors.Is(err, context.DeadlineExceeded):
 		r.Reason = DeadlinePassed
-	case ctx.Err() != nil:
+	case errors.Is(err, context.Canceled):
 		r.Reason = CallerDisconnected
 	case errors.Is(err, carrier.ErrMalformedResponse):
 		r.Reason = MalformedResponse
 	}
 	return r
 }
-
-// reportSenderLeft logs and counts a job whose sender has left.
-func (g *Executor) reportSenderLeft(j *Job, d watcher.Departure) {
-	_ = g.config.Logger.Log("event", "sender_left", "id", j.ID, "hop", "server", "noticed", d,
-		"age_ms", (timer.Now() - j.Request.Received).Milliseconds(), "waited_ms", j.Request.Waited.Milliseconds(),
-		"detached", j.Detached)
-	if g.config.OnSenderLeft != nil {
-		g.config.OnSenderLeft(d)
-	}
-}
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -4,13 +4,14 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"hibiscusline/balancer"
 	"hibiscusline/carrier"
 	"hibiscusline/executor"
 	"hibiscusline/matcher"
 	"hibiscusline/registrar"
 	"hibiscusline/timer"
-	"hibiscusline/watcher"
 )
 
 // maxBusyLinkDelay bounds how long a member is skipped after its link was saturated. Skipping saves the bandwidth
@@ -72,9 +73,6 @@
 	if m.Name == f.config.Member {
 		return f.config.Local.Run(ctx, p.job)
 	}
-	if d := watcher.SenderLeft(ctx); d != watcher.NotNoticed {
-		p.reportSenderLeft(d)
-	}
 	response, err := f.config.Peers.Exchange(ctx, m.Peer, executor.EncodeJob(p.job))
 	if err != nil {
 		return p.failedExchange(ctx, m, err)
@@ -87,18 +85,12 @@
 	return r
 }
 
-// reportSenderLeft logs and counts a request whose caller has left.
-func (p *forwardedRequest) reportSenderLeft(d watcher.Departure) {
-	f, q := p.forwarder, p.job.Request
-	_ = f.config.Logger.Log("event", "sender_left", "id", p.job.ID, "hop", "entry", "noticed", d,
-		"age_ms", (timer.Now() - q.Received).Milliseconds(), "waited_ms", q.Waited.Milliseconds(), "sends", p.sends)
-	if f.config.OnSenderLeft != nil {
-		f.config.OnSenderLeft(d)
-	}
-}
-
 // failedExchange returns the result of a failed exchange with a peer.
 func (p *forwardedRequest) failedExchange(ctx context.Context, m registrar.Member, err error) executor.Result {
+	if left := new(carrier.SenderLeftError); errors.As(err, &left) {
+		p.forwarder.config.OnSenderLeft(left.Noticed)
+		return executor.Result{Outcome: executor.NotRun, Reason: executor.CallerDisconnected}
+	}
 	if Unsent(err) {
 		if ctx.Err() == nil {
 			p.forwarder.config.Peers.MarkDown(m.Peer)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -39,8 +39,7 @@
 	Refresh func(member string)
 	// Observe is called at the end of each request.
 	Observe func(Summary)
-	// OnSenderLeft is called for each request whose caller has left when the request would be sent to a member. Nil means
-	// that it is only logged.
+	// OnSenderLeft is called for each request that isn't sent to another member because its caller has left.
 	OnSenderLeft func(watcher.Departure)
 }
 
@@ -51,7 +50,9 @@
 	Outcome       executor.Outcome
 	Reason        executor.Reason
 	Elapsed       time.Duration
-	Sends         int
+	// Waited is the part of Elapsed for which the request waited for earlier responses of its connection.
+	Waited time.Duration
+	Sends  int
 }
 
 // Forwarder forwards callers' requests. It is safe for concurrent use.
@@ -100,6 +101,9 @@
 
 // New returns a Forwarder without routes. It responds with status 503 until SetRoutes is called.
 func New(c Config) *Forwarder {
+	if c.OnSenderLeft == nil {
+		c.OnSenderLeft = func(watcher.Departure) {}
+	}
 	return &Forwarder{
 		config: c, services: map[string]*serviceState{},
 		successLog: rate.NewLimiter(successLogRate, successLogRate),
@@ -244,7 +248,7 @@
 	}
 	p.forwarder.logRequest(p.job.ID, Summary{
 		Rank: p.match.Rank, Service: p.match.Service.Name, Status: response.Status, Outcome: r.Outcome, Reason: r.Reason,
-		Elapsed: timer.Now() - p.job.Request.Received, Sends: p.sends,
+		Elapsed: timer.Now() - p.job.Request.Received, Waited: p.job.Request.Waited, Sends: p.sends,
 	}, p.version, p.lastMember, "")
 	return response
 }
@@ -258,6 +262,7 @@
 	}
 	_ = f.config.Logger.Log("event", "request", "id", id, "rank", s.Rank, "service", s.Service, "status", s.Status,
 		"outcome", s.Outcome, "reason", s.Reason, "member", member, "sends", s.Sends, "ms", s.Elapsed.Milliseconds(),
+		"waited_ms", s.Waited.Milliseconds(),
 		"configuration", version, "records", f.recordsEnd(), "note", note)
 }
 
