carrier: notice a caller that leaves while its next request waits

Cause: a connection has one reading goroutine. It stands still while a request that may not be pipelined waits for the one ahead of it, and while 16 requests are unanswered. A close is not read then, so the requests ahead run to their end, and the waiting one is handled after them. Change: while it waits, the goroutine checks every 100 ms whether the connection is closed, also behind unread bytes, and cancels the requests. A request whose turn comes after that isn't handled. The places of the pipeline are counted down instead of up, so that one function waits for both.

--- a/carrier/conn.go
+++ b/carrier/conn.go
@@ -37,13 +37,14 @@
 // conn is one caller's connection. Its requests are read by serve; each is handled by a goroutine that waits until the
 // earlier responses are written.
 type conn struct {
-	server   *Server
-	net      net.Conn
-	limited  limitedReader
-	reader   *bufio.Reader
-	remote   netip.AddrPort
-	ctx      context.Context
-	cancel   context.CancelFunc
+	server  *Server
+	net     net.Conn
+	limited limitedReader
+	reader  *bufio.Reader
+	remote  netip.AddrPort
+	ctx     context.Context
+	cancel  context.CancelFunc
+	// pipeline holds a value for each further request that may be unanswered.
 	pipeline chan struct{}
 
 	mu      sync.Mutex
@@ -76,6 +77,9 @@
 
 func newConn(s *Server, nc net.Conn) *conn {
 	c := &conn{server: s, net: nc, limited: limitedReader{source: nc}, pipeline: make(chan struct{}, maxPipelined)}
+	for range maxPipelined {
+		c.pipeline <- struct{}{}
+	}
 	c.reader = bufio.NewReaderSize(&c.limited, readBuffer)
 	c.ctx, c.cancel = context.WithCancel(watcher.WithConn(context.Background(), nc))
 	if a, ok := nc.RemoteAddr().(*net.TCPAddr); ok {
@@ -96,9 +100,9 @@
 		}
 		read := timer.Now()
 		if c.server.config.AllowPipelining == nil || !c.server.config.AllowPipelining(q) {
-			<-previous
+			c.await(previous)
 		}
-		c.pipeline <- struct{}{}
+		c.await(c.pipeline)
 		q.Waited = timer.Now() - read
 		if !c.startRequest() {
 			c.finish(previous, nil)
@@ -110,11 +114,37 @@
 	}
 }
 
-// startRequest counts a request as in flight. It reports false if an earlier response closes the connection.
+// departureCheckInterval is how often a connection that nobody reads is checked for the departure of its caller.
+const departureCheckInterval = 100 * time.Millisecond
+
+// await receives from a channel that earlier requests close or send to at their end. Nobody reads the connection
+// meanwhile, so it is checked for the departure of the caller, which cancels these requests.
+func (c *conn) await(ready <-chan struct{}) {
+	select {
+	case <-ready:
+		return
+	default:
+	}
+	t := time.NewTicker(departureCheckInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ready:
+			return
+		case <-t.C:
+			if watcher.Closed(c.net) {
+				c.cancel()
+			}
+		}
+	}
+}
+
+// startRequest counts a request as in flight. It reports false if an earlier response closes the connection or the
+// caller has left.
 func (c *conn) startRequest() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closing {
+	if c.closing || c.ctx.Err() != nil {
 		return false
 	}
 	c.pending++
@@ -129,7 +159,7 @@
 // finish closes the connection after all earlier requests are answered. A non-nil failure is written as the last
 // response.
 func (c *conn) finish(previous chan struct{}, failure *Response) {
-	<-previous
+	c.await(previous)
 	c.mu.Lock()
 	closing := c.closing
 	c.closing = true
@@ -176,7 +206,7 @@
 	closing := c.closing
 	c.mu.Unlock()
 	c.server.inFlight.Add(-1)
-	<-c.pipeline
+	c.pipeline <- struct{}{}
 	close(done)
 	if closing {
 		c.setReadDeadline(time.Now())
--- a/carrier/departure_test.go
+++ b/carrier/departure_test.go
@@ -93,31 +93,43 @@
 }
 
 // TestCallerLeavesWhileNextWaits guards against a caller that leaves unnoticed while its next request waits for the one
-// ahead of it, and against that next request being handled afterwards (GONE).
+// ahead of it, or for one of many to be answered, and against that next request being handled afterwards (GONE).
 func TestCallerLeavesWhileNextWaits(t *testing.T) {
-	started, ended := make(chan string, 2), make(chan error, 2)
-	s, address := startServer(t, carrier.ServerConfig{Handle: func(
-		ctx context.Context, q *carrier.Request,
-	) *carrier.Response {
-		started <- q.Target
-		select {
-		case <-ctx.Done():
-		case <-time.After(5 * time.Second):
-		}
-		ended <- ctx.Err()
-		return nil
-	}})
-	c := dial(t, address)
-	for i := range 2 {
-		_, err := fmt.Fprintf(c, "GET /%d HTTP/1.1\r\nHost: h\r\n\r\n", i)
-		require.NoError(t, err)
+	for name, tc := range map[string]struct {
+		pipelining bool
+		concurrent int
+	}{"one at a time": {false, 1}, "too many unanswered": {true, 16}} {
+		t.Run(name, func(t *testing.T) {
+			started, ended := make(chan string, 40), make(chan error, 40)
+			s, address := startServer(t, carrier.ServerConfig{
+				AllowPipelining: func(*carrier.Request) bool { return tc.pipelining },
+				Handle: func(ctx context.Context, q *carrier.Request) *carrier.Response {
+					started <- q.Target
+					select {
+					case <-ctx.Done():
+					case <-time.After(5 * time.Second):
+					}
+					ended <- ctx.Err()
+					return nil
+				},
+			})
+			c := dial(t, address)
+			for i := range tc.concurrent + 1 {
+				_, err := fmt.Fprintf(c, "GET /%d HTTP/1.1\r\nHost: h\r\n\r\n", i)
+				require.NoError(t, err)
+			}
+			for range tc.concurrent {
+				<-started
+			}
+			require.NoError(t, c.Close())
+			for range tc.concurrent {
+				require.ErrorIs(t, <-ended, context.Canceled, "requests are cancelled when their caller leaves")
+			}
+			require.Eventually(t, func() bool { return s.InFlight() == 0 }, 10*time.Second, time.Millisecond)
+			time.Sleep(50 * time.Millisecond)
+			require.Empty(t, started, "the next request is not handled")
+		})
 	}
-	require.Equal(t, "/0", <-started)
-	require.NoError(t, c.Close())
-	require.ErrorIs(t, <-ended, context.Canceled, "the first request is cancelled when its caller leaves")
-	require.Eventually(t, func() bool { return s.InFlight() == 0 }, 10*time.Second, time.Millisecond)
-	time.Sleep(50 * time.Millisecond)
-	require.Empty(t, started, "the next request is not handled")
 }
 
 // TestDetachedExchange guards against a request that is cancelled with its caller although it may run only once and was
