router, dispatcher: don't run a request whose caller has left

Cause: three places. A non-repeatable request was detached from its caller before it had a slot, so it ran after its caller had left the queue, or before it was read. net/http notices a close only while it reads, and it doesn't while a body is unread or another request is waiting. A request read together with its close was forwarded before net/http cancelled its context. Change: router and dispatcher ask package watcher right before they send; a request is detached when it is sent; and the router watches the connection of each request every 100 ms.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"hibiscusline/loader"
 	"hibiscusline/router"
 	"hibiscusline/transporter"
+	"hibiscusline/watcher"
 )
 
 // Config configures a Daemon.
@@ -219,6 +220,7 @@
 		if l.server == s.callers {
 			s.callerListener = newDrainingListener(listener)
 			s.callers.ConnState = s.callerConnections.onStateChange
+			s.callers.ConnContext = watcher.WithConn
 			listener = s.callerListener
 		}
 		d.tasks.Go(func() {
--- a/daemon/limit.go
+++ b/daemon/limit.go
@@ -3,6 +3,9 @@
 import (
 	"net"
 	"sync"
+	"syscall"
+
+	"github.com/pkg/errors"
 )
 
 // limitedListener limits the number of open connections. Accept blocks while the limit is reached.
@@ -46,6 +49,15 @@
 	release func()
 }
 
+// SyscallConn returns the raw connection, which package watcher looks at.
+func (c *limitedConnection) SyscallConn() (syscall.RawConn, error) {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.New("the connection has no file descriptor")
+	}
+	return s.SyscallConn()
+}
+
 // Close closes the connection, which no longer counts toward the limit.
 func (c *limitedConnection) Close() error {
 	c.release()
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -18,6 +18,7 @@
 	"hibiscusline/hasher"
 	"hibiscusline/quarantiner"
 	"hibiscusline/timer"
+	"hibiscusline/watcher"
 )
 
 // Replicator stores idempotency rows at this process's guardians.
@@ -191,9 +192,12 @@
 	deadline time.Time
 	grant    grant
 	// ranked means that the request's rank is in the configuration.
-	ranked  bool
-	outcome encoder.Outcome
-	reason  encoder.Reason
+	ranked bool
+	// outlivesCaller means that the request, once sent, continues when its caller disconnects. Its body is read from the
+	// caller's stream, so that takes effect only if the body has arrived.
+	outlivesCaller bool
+	outcome        encoder.Outcome
+	reason         encoder.Reason
 }
 
 // respond sends a response without a body.
@@ -261,6 +265,16 @@
 		}
 		return d.respond(j, *refusal)
 	}
+	if watcher.SenderLeft(ctx) != watcher.NotNoticed {
+		release(false)
+		settle(runResult{})
+		return d.refuse(j, encoder.Cancelled)
+	}
+	if j.outlivesCaller {
+		detached, cancel := context.WithDeadline(context.WithoutCancel(ctx), j.deadline)
+		defer cancel()
+		ctx = detached
+	}
 	// The maximum request time counts from before the lease check. Otherwise a process that is frozen between the check
 	// and the call would send the request after a successor has waited for the end of that time.
 	ctx, cancel := context.WithTimeout(ctx, d.maxRequest(j.head.Service))
--- a/dispatcher/once.go
+++ b/dispatcher/once.go
@@ -93,7 +93,7 @@
 
 // serveFresh stores the intent at the guardians and runs the request. A request that would be refused is refused before
 // that, because in a flood of non-repeatable requests the records of refused requests took more time than all others.
-// The request continues when its caller disconnects, so that its outcome is known when the caller resends it.
+// Once sent, the request continues when its caller disconnects, so that its outcome is known when the caller resends it.
 func (d *Dispatcher) serveFresh(ctx context.Context, j *job, row deduper.Row) error {
 	if refusal := d.admission.preview(d.arrival(j, false)); refusal != nil {
 		// The row has not been sent to the guardians, so they need not forget it.
@@ -110,10 +110,8 @@
 		d.abort(row.Ref)
 		return d.refuse(j, encoder.GuardiansUnreachable)
 	}
-	// The body is read from the caller's stream, so a request can outlive its caller only if its body has arrived.
-	detached, cancel := context.WithDeadline(context.WithoutCancel(ctx), j.deadline)
-	defer cancel()
-	return d.admitAndRun(detached, j, j.sink, func(r runResult) { d.settle(row.Ref, r) })
+	j.outlivesCaller = true
+	return d.admitAndRun(ctx, j, j.sink, func(r runResult) { d.settle(row.Ref, r) })
 }
 
 func (d *Dispatcher) abort(ref deduper.AttemptRef) {
--- a/router/forward.go
+++ b/router/forward.go
@@ -11,6 +11,7 @@
 
 	"hibiscusline/applier"
 	"hibiscusline/encoder"
+	"hibiscusline/watcher"
 )
 
 // Body is a request's body for one attempt.
@@ -158,6 +159,9 @@
 	if head.Remaining <= 0 {
 		return notRunResponse(encoder.DeadlineExceeded), nil
 	}
+	if watcher.SenderLeft(ctx) != watcher.NotNoticed {
+		return notRunResponse(encoder.Cancelled), nil
+	}
 	callerContext := ctx
 	ctx, release := rt.removals.watch(ctx, rt.config.Follower, m.ID)
 	started := time.Now()
--- a/router/router.go
+++ b/router/router.go
@@ -13,6 +13,7 @@
 	"hibiscusline/encoder"
 	"hibiscusline/follower"
 	"hibiscusline/hasher"
+	"hibiscusline/watcher"
 )
 
 // Parent holds what a nested call inherits from the request that made it.
@@ -101,7 +102,9 @@
 		body.setDeadline(c.deadline.Add(time.Second))
 	}
 	defer body.finish()
-	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	watched, stop := watcher.Watch(r.Context())
+	defer stop()
+	ctx, cancel := context.WithDeadline(watched, c.deadline)
 	defer cancel()
 	response, responseBody := rt.forward(ctx, c)
 	rt.countResponse(c, response)
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -39,6 +40,36 @@
 	return NotNoticed
 }
 
+// checkInterval is how often Watch checks a connection.
+const checkInterval = 100 * time.Millisecond
+
+// Watch returns a context that is also cancelled when the connection of a request is closed. It is for servers that don't
+// read the connection while they handle a request, as net/http while the body is unread or another request is waiting.
+// The returned function must be called at the end of the request.
+func Watch(ctx context.Context) (context.Context, context.CancelFunc) {
+	c, ok := ctx.Value(connKey{}).(net.Conn)
+	if !ok {
+		return ctx, func() {}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	var t *time.Timer
+	t = time.AfterFunc(time.Hour, func() {
+		if ctx.Err() != nil {
+			return
+		}
+		if Closed(c) {
+			cancel()
+			return
+		}
+		t.Reset(checkInterval)
+	})
+	t.Reset(checkInterval)
+	return ctx, func() {
+		cancel()
+		t.Stop()
+	}
+}
+
 // Closed reports whether the other end has closed or reset a connection, or this end has closed it. It doesn't wait and
 // reads nothing, so it may be called while another goroutine reads. A connection without a file descriptor counts as
 // open.
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -80,3 +80,24 @@
 	}, 10*time.Second, time.Millisecond)
 	require.Equal(t, watcher.NotNoticed, watcher.SenderLeft(context.Background()))
 }
+
+// TestWatch guards against a request that goes on after its connection was closed behind unread bytes, and against a
+// watch that goes on after the end of its request.
+func TestWatch(t *testing.T) {
+	near, far := connect(t)
+	ctx, stop := watcher.Watch(watcher.WithConn(context.Background(), near))
+	defer stop()
+	_, err := far.Write([]byte("the next request"))
+	require.NoError(t, err)
+	time.Sleep(250 * time.Millisecond)
+	require.NoError(t, ctx.Err())
+	require.NoError(t, far.Close())
+	select {
+	case <-ctx.Done():
+	case <-time.After(10 * time.Second):
+		require.Fail(t, "the close wasn't noticed")
+	}
+	ctx, stop = watcher.Watch(context.Background())
+	stop()
+	require.NoError(t, ctx.Err(), "a context without a connection stays as it is")
+}
