carrier: bound the header of a response and the memory of responses without end

What callers would see: a backend server that sends bytes without end takes the memory of the process beside it, which is then killed with all its requests. Cause: the pool read a status line and header fields without a limit until the request's deadline, and each body up to 64 MiB (with a length that a server claims: at once), which a few at a time bring over the memory of a process. Change: a response's header is limited to 64 KiB. Bodies beyond 1 MiB share a budget of an eighth of the process's memory while they are read; one that doesn't fit ends as a malformed response and its connection is closed. Small responses take nothing from it. A limit that is reached is an error of its own instead of the end of the stream, which would complete a body without a length.

--- a/carrier/conn.go
+++ b/carrier/conn.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -52,29 +51,6 @@
 	closing bool
 }
 
-// limitedReader limits the number of bytes read. It records why reading stopped, since the parser may report an
-// incomplete line as a malformed one.
-type limitedReader struct {
-	source       io.Reader
-	remaining    int64
-	limitReached bool
-	timedOut     bool
-}
-
-func (r *limitedReader) Read(p []byte) (int, error) {
-	if r.remaining <= 0 {
-		r.limitReached = true
-		return 0, io.EOF
-	}
-	if int64(len(p)) > r.remaining {
-		p = p[:r.remaining]
-	}
-	n, err := r.source.Read(p)
-	r.remaining -= int64(n)
-	r.timedOut = r.timedOut || errors.Is(err, os.ErrDeadlineExceeded)
-	return n, err
-}
-
 func newConn(s *Server, nc net.Conn) *conn {
 	c := &conn{server: s, net: nc, limited: limitedReader{source: nc}, pipeline: make(chan struct{}, maxPipelined)}
 	for range maxPipelined {
--- /dev/null
+++ b/carrier/endless_test.go
@@ -0,0 +1,103 @@
+package carrier_test
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscusline/carrier"
+)
+
+// endlessResponses are responses that a faulty server begins and then continues without end.
+var endlessResponses = map[string]struct{ head, repeated string }{
+	"status line":       {"HTTP/1.1 200 ", strings.Repeat("x", 4<<10)},
+	"no response":       {"", strings.Repeat("\x00\xff", 4<<10)},
+	"field":             {"HTTP/1.1 200 OK\r\nX: ", strings.Repeat("x", 4<<10)},
+	"fields":            {"HTTP/1.1 200 OK\r\n", "X: " + strings.Repeat("x", 1<<10) + "\r\n"},
+	"interim responses": {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+	"other responses":   {"", "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 1\r\n\r\nx"},
+	"body":              {"HTTP/1.1 200 OK\r\nId: a\r\n\r\n", strings.Repeat("x", 4<<10)},
+	"body of another":   {"HTTP/1.1 200 OK\r\nId: other\r\n\r\n", strings.Repeat("x", 4<<10)},
+	"chunks":            {"HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n", "400\r\n" + strings.Repeat("x", 1<<10) + "\r\n"},
+	"chunk extension":   {"HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n1;", strings.Repeat("x", 4<<10)},
+	"trailer":           {"HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: ", strings.Repeat("x", 4<<10)},
+	"long body":         {"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 1000000000000\r\n\r\n", strings.Repeat("x", 4<<10)},
+}
+
+// writeEndlessly responds to one request and returns when the other end has closed the connection. It adds the bytes
+// written to a counter.
+func writeEndlessly(c net.Conn, r *bufio.Reader, head, repeated string, written *atomic.Int64) {
+	defer c.Close()
+	if _, err := http.ReadRequest(r); err != nil {
+		return
+	}
+	for text := head; ; text = repeated {
+		n, err := c.Write([]byte(text))
+		written.Add(int64(n))
+		if err != nil {
+			return
+		}
+	}
+}
+
+// TestEndlessResponse guards against a response without end that is read until the deadline of its request, or until the
+// process is out of memory.
+func TestEndlessResponse(t *testing.T) {
+	for name, tc := range endlessResponses {
+		t.Run(name, func(t *testing.T) {
+			var written atomic.Int64
+			address, _ := startScriptedServer(t, func(c net.Conn, r *bufio.Reader, _ *atomic.Int32) {
+				writeEndlessly(c, r, tc.head, tc.repeated, &written)
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+			defer cancel()
+			_, err := newPool().Exchange(ctx, address, newRequest("a"))
+			var failed *carrier.ExchangeError
+			require.ErrorAs(t, err, &failed)
+			require.True(t, failed.Sent)
+			require.NoError(t, ctx.Err(), "the connection is closed before the deadline")
+			// The limit on bodies is 1 MiB. Socket buffers take some more.
+			require.Less(t, written.Load(), int64(16<<20))
+		})
+	}
+}
+
+// TestEndlessResponsesAtOnce guards against endless bodies that each stay below their limit and together take the memory
+// of the process, and against small responses that fail because of them.
+func TestEndlessResponsesAtOnce(t *testing.T) {
+	const budget = 4 << 20
+	var written atomic.Int64
+	endless := endlessResponses["body"]
+	faulty, _ := startScriptedServer(t, func(c net.Conn, r *bufio.Reader, _ *atomic.Int32) {
+		writeEndlessly(c, r, endless.head, endless.repeated, &written)
+	})
+	sound, _ := startEchoServer(t)
+	pool := carrier.NewPool(carrier.PoolConfig{
+		ConnectTimeout: time.Second, IdleTimeout: time.Minute, MaxIdle: 4, MaxBody: 64 << 20,
+		Budget: carrier.NewBudget(budget),
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	var group sync.WaitGroup
+	for range 16 {
+		group.Go(func() {
+			_, err := pool.Exchange(ctx, faulty, newRequest("a"))
+			require.ErrorIs(t, err, carrier.ErrMalformedResponse)
+		})
+		group.Go(func() {
+			_, err := pool.Exchange(ctx, sound, newRequest("a"))
+			require.NoError(t, err)
+		})
+	}
+	group.Wait()
+	// Each body may take 1 MiB beside the budget. Socket buffers take some more.
+	require.Less(t, written.Load(), int64(16*8<<20))
+}
--- /dev/null
+++ b/carrier/limit.go
@@ -0,0 +1,58 @@
+package carrier
+
+import (
+	"errors"
+	"io"
+	"os"
+	"sync/atomic"
+)
+
+// errLimitReached is the error of a limitedReader. It isn't io.EOF, which would complete a body without a length.
+var errLimitReached = errors.New("message too large")
+
+// limitedReader limits the number of bytes read. It records why reading stopped, since the parser may report an
+// incomplete line as a malformed one.
+type limitedReader struct {
+	source       io.Reader
+	remaining    int64
+	limitReached bool
+	timedOut     bool
+}
+
+func (r *limitedReader) Read(p []byte) (int, error) {
+	if r.remaining <= 0 {
+		r.limitReached = true
+		return 0, errLimitReached
+	}
+	if int64(len(p)) > r.remaining {
+		p = p[:r.remaining]
+	}
+	n, err := r.source.Read(p)
+	r.remaining -= int64(n)
+	r.timedOut = r.timedOut || errors.Is(err, os.ErrDeadlineExceeded)
+	return n, err
+}
+
+// Budget bounds the memory that large response bodies take together while they are read. It is safe for concurrent use.
+type Budget struct {
+	limit int64
+	used  atomic.Int64
+}
+
+// NewBudget returns a Budget of a number of bytes.
+func NewBudget(bytes int) *Budget { return &Budget{limit: int64(bytes)} }
+
+// reserve takes a number of bytes from the budget, and reports whether they were available. A nil budget is unlimited.
+func (b *Budget) reserve(bytes int) bool {
+	if b == nil || b.used.Add(int64(bytes)) <= b.limit {
+		return true
+	}
+	b.release(bytes)
+	return false
+}
+
+func (b *Budget) release(bytes int) {
+	if b != nil {
+		b.used.Add(-int64(bytes))
+	}
+}
--- a/carrier/pool.go
+++ b/carrier/pool.go
@@ -29,6 +29,8 @@
 	MaxIdle int
 	// MaxBody bounds the body of a response, in bytes.
 	MaxBody int
+	// Budget bounds the memory of large response bodies. Nil means no bound beyond MaxBody.
+	Budget *Budget
 	// Matches reports whether a response belongs to a request. Responses that don't are discarded. Nil accepts all.
 	Matches func(*Request, http.Header) bool
 }
@@ -74,8 +76,9 @@
 
 // poolConn is one connection of a Pool.
 type poolConn struct {
-	net    net.Conn
-	reader *bufio.Reader
+	net     net.Conn
+	limited limitedReader
+	reader  *bufio.Reader
 	// expires is the time after which the other end may close the idle connection.
 	expires time.Duration
 }
@@ -176,9 +179,9 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	return &poolConn{
-		net: nc, reader: bufio.NewReaderSize(nc, readBuffer), expires: timer.Now() + p.config.IdleTimeout,
-	}, nil
+	c := &poolConn{net: nc, limited: limitedReader{source: nc}, expires: timer.Now() + p.config.IdleTimeout}
+	c.reader = bufio.NewReaderSize(&c.limited, readBuffer)
+	return c, nil
 }
 
 // putConn adds a connection to the idle ones, and closes those that have expired.
@@ -253,13 +256,25 @@
 	return r, reusable, err
 }
 
+const (
+	// maxResponseHeaderBytes bounds the status line and the header fields of a response.
+	maxResponseHeaderBytes = 64 << 10
+	// unbudgetedBodyBytes is the size up to which a response body takes nothing from the Budget, so that small responses
+	// are read also while a faulty server fills the budget.
+	unbudgetedBodyBytes = 1 << 20
+)
+
 // maxResponses bounds the responses that are read for one request, including interim ones (1xx) and those to other
 // requests.
 const maxResponses = 4
 
 func (x *exchange) readResponse() (r *Response, reusable bool, err error) {
 	for range maxResponses {
+		x.conn.limited.remaining = maxResponseHeaderBytes
 		h, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.request.Method})
+		if x.conn.limited.limitReached {
+			return nil, false, errors.Wrap(ErrMalformedResponse, "response header too large")
+		}
 		if err != nil {
 			return nil, false, errors.Wrap(err, "read response")
 		}
@@ -285,14 +300,23 @@
 }
 
 func (x *exchange) readBody(h *http.Response) ([]byte, error) {
+	x.conn.limited.remaining = 2*int64(x.pool.config.MaxBody) + readBuffer
 	size := int64(512)
 	if h.ContentLength > 0 {
-		size = min(h.ContentLength, int64(x.pool.config.MaxBody))
+		size = min(h.ContentLength, unbudgetedBodyBytes)
 	}
 	body := make([]byte, 0, size)
+	reserved := 0
+	defer func() { x.pool.config.Budget.release(reserved) }()
 	for {
 		if len(body) == cap(body) {
 			body = append(body, 0)[:len(body)]
+			if more := cap(body) - unbudgetedBodyBytes - reserved; more > 0 {
+				if !x.pool.config.Budget.reserve(more) {
+					return nil, errors.Wrap(ErrMalformedResponse, "large responses exceed the memory for them")
+				}
+				reserved += more
+			}
 		}
 		n, err := h.Body.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -24,6 +24,8 @@
 	Permits func(now time.Duration, key uint16) bool
 	// Link limits the large responses of the instance. Nil means no limit.
 	Link *Link
+	// Budget bounds the memory of large responses. Nil means no bound beyond the limit for one response.
+	Budget *carrier.Budget
 	// OnConnectionRefused is called when the server's address refuses a connection, which means that the server's
 	// incarnation has ended.
 	OnConnectionRefused func(instance string)
@@ -94,6 +96,7 @@
 		config: c,
 		pool: carrier.NewPool(carrier.PoolConfig{
 			ConnectTimeout: connectTimeout, IdleTimeout: idleTimeout, MaxIdle: maxIdle, MaxBody: maxBody,
+			Budget:  c.Budget,
 			Matches: func(q *carrier.Request, h http.Header) bool { return platform.ResponseMatches(q.Header, h) },
 		}),
 		admitter: admitter.New(admitter.Config{QueueLimit: queueLimit, NestedShare: nestedShare}),
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -34,6 +34,8 @@
 	// OnChange is called when a peer becomes unreachable, or reachable again. In the second case, after is how long it
 	// was unreachable.
 	OnChange func(peer netip.AddrPort, reachable bool, after time.Duration)
+	// Budget bounds the memory of large responses. Nil means no bound beyond the limit for one response.
+	Budget *carrier.Budget
 }
 
 // Peers tracks the other sidecars and their reachability. It is safe for concurrent use.
@@ -58,6 +60,7 @@
 		config: c, states: map[netip.AddrPort]*peerState{},
 		pool: carrier.NewPool(carrier.PoolConfig{
 			ConnectTimeout: peerConnectTimeout, IdleTimeout: peerIdleTimeout, MaxIdle: peerMaxIdle, MaxBody: peerMaxBody,
+			Budget: c.Budget,
 		}),
 	}
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -136,11 +136,12 @@
 	})
 	a.granter.Revoke()
 	a.own = registrar.Member{Name: s.Name, Zone: s.Zone, Peer: s.PeerAddress(), Service: s.Service}
-	a.peers = forwarder.NewPeers(forwarder.PeersConfig{Probe: a.syncWith, OnChange: a.peerChanged})
+	budget := carrier.NewBudget(s.MemoryMB << 20 / responseMemoryDivisor)
+	a.peers = forwarder.NewPeers(forwarder.PeersConfig{Probe: a.syncWith, OnChange: a.peerChanged, Budget: budget})
 	a.link = executor.NewLink(s.LinkMbps * bytesPerMegabit)
 	a.executor = executor.New(executor.Config{
 		Backend: s.Backend, Logger: a.logger, Permits: a.permits,
-		OnConnectionRefused: a.handleConnectionRefused, Link: a.link,
+		OnConnectionRefused: a.handleConnectionRefused, Link: a.link, Budget: budget,
 		OnSenderLeft: func(d watcher.Departure) { a.metrics.senderLeft("server", d) },
 	})
 	a.forwarder = forwarder.New(forwarder.Config{
@@ -160,6 +161,10 @@
 	return a
 }
 
+// responseMemoryDivisor is the part of the memory of the process that large responses may take while they are read, as a
+// divisor. Copies and garbage take several times as much.
+const responseMemoryDivisor = 8
+
 // Shares of the platform's retry budget. The rest is reserved for the nested calls of retried requests, which can't be
 // counted here.
 const (
