--- a/daemon/local.go
+++ b/daemon/local.go
@@ -146,7 +146,7 @@
 // watchBackend probes the backend server and resigns if it stops announcing itself, refuses connections, is frozen or
 // reports that it is draining.
 func (d *Daemon) watchBackend(ctx context.Context) {
-	client := &http.Client{Timeout: probeTimeout, Transport: &http.Transport{DisableKeepAlives: false, MaxIdleConnsPerHost: 1}}
+	client := &http.Client{Timeout: probeTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: maxHealthBytes}}
 	defer client.CloseIdleConnections()
 	every(ctx, probeInterval, func() {
 		d.mu.Lock()
--- a/dispatcher/backend.go
+++ b/dispatcher/backend.go
@@ -29,6 +29,9 @@
 // crashProbeTimeout bounds each connection attempt that distinguishes a crashed server from a broken connection.
 const crashProbeTimeout = 250 * time.Millisecond
 
+// maxResponseHeaderBytes bounds the status line and the header fields of a response.
+const maxResponseHeaderBytes = 64 << 10
+
 // reservedConnections is the number of connections reserved for the health probe and for the probe after a broken
 // connection.
 const reservedConnections = 1
@@ -65,7 +68,7 @@
 	b.client = &http.Client{
 		Transport: &http.Transport{
 			MaxConnsPerHost: limit, MaxIdleConnsPerHost: limit, IdleConnTimeout: time.Minute,
-			DisableCompression: true, ResponseHeaderTimeout: 0,
+			DisableCompression: true, ResponseHeaderTimeout: 0, MaxResponseHeaderBytes: maxResponseHeaderBytes,
 			DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
