registrar, assigner, sidecar: keep records that an odd one overwrites, and write them again

What callers would see: another writer's odd record takes a live process out of every view until it says so again, and an odd record of a table makes the next process that starts create the table anew, with fencing tokens that were given out before: two servers could hold a key. Cause: an unreadable member record deleted the one before it; an unreadable table record looked like no table; numbers without a successor (epoch, token, serial), ports of zero, unknown states and names of others were accepted. Change: records are checked whole; an unreadable one leaves the one before it in force and is known as unreadable, so that its writer, or an owner of the table, writes it again. Without an earlier table none is created; the record has to be removed by hand then.

--- a/assigner/record.go
+++ b/assigner/record.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"compress/flate"
 	"io"
+	"math"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
@@ -24,6 +25,10 @@
 	Target     map[uint16]uint16
 }
 
+// maxOwners limits the owners of a table. Slices refer to them by 16 bits, and a change may add some before it removes
+// those without slices.
+const maxOwners = math.MaxUint16 / 2
+
 // maxRecordBytes limits the size of a record after decompression.
 const maxRecordBytes = 4 << 20
 
@@ -71,7 +76,16 @@
 	return r.toTable()
 }
 
+// maxCounter bounds the tokens and serials of a record. It leaves room for further increments.
+const maxCounter = 1 << 62
+
 func (r *record) toTable() (*Table, error) {
+	if r.LastToken > maxCounter || r.LastSerial > maxCounter {
+		return nil, errors.Errorf("assignment table of %q: token or serial too large", r.Service)
+	}
+	if len(r.Owners) > maxOwners {
+		return nil, errors.Errorf("assignment table of %q has %d owners; allowed: %d", r.Service, len(r.Owners), maxOwners)
+	}
 	n := len(r.SliceOwner)
 	if n == 0 || n > KeyCount || len(r.Token) != n {
 		return nil, errors.Errorf("assignment table of %q has %d slice owners and %d slice tokens",
@@ -86,6 +100,9 @@
 	}
 	for i := range t.Slices {
 		t.Slices[i] = Slice{Owner: r.SliceOwner[i], Token: r.Token[i], Target: r.Target[uint16(i)]}
+		if t.Slices[i].Token > t.LastToken {
+			return nil, errors.Errorf("assignment table of %q: token of slice %d was never issued", r.Service, i)
+		}
 		if int(t.Slices[i].Owner) > len(t.Owners) || int(t.Slices[i].Target) > len(t.Owners) {
 			return nil, errors.Errorf("assignment table of %q: owner or target index of slice %d is out of range", r.Service, i)
 		}
--- a/registrar/member.go
+++ b/registrar/member.go
@@ -47,12 +47,30 @@
 	return assigner.Owner{Member: m.Name, Incarnation: m.Incarnation}
 }
 
-// DecodeMember decodes a member record.
+// Bounds of the numbers in a member record.
+const (
+	// maxCounter leaves room for further increments of an epoch or a revision.
+	maxCounter = 1 << 62
+	// maxSlots is the number of ports of an address. A server can't run more requests at a time.
+	maxSlots = 1 << 16
+)
+
+// DecodeMember decodes and validates a member record.
 func DecodeMember(data []byte) (Member, error) {
 	var m Member
 	if err := cbor.Unmarshal(data, &m); err != nil {
 		return Member{}, errors.Wrap(err, "decode member record")
 	}
+	switch {
+	case !m.Peer.IsValid() || m.Peer.Port() == 0:
+		return Member{}, errors.Errorf("member record of %q: no peer can be reached at %s", m.Name, m.Peer)
+	case m.State > Ended:
+		return Member{}, errors.Errorf("member record of %q: unknown state %d", m.Name, m.State)
+	case m.Slots < 0 || m.Slots > maxSlots:
+		return Member{}, errors.Errorf("member record of %q: %d slots; allowed: 0 to %d", m.Name, m.Slots, maxSlots)
+	case m.Epoch > maxCounter || m.Revision > maxCounter:
+		return Member{}, errors.Errorf("member record of %q: epoch or revision too large", m.Name)
+	}
 	return m, nil
 }
 
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -44,6 +44,15 @@
 	ByZone map[string]int
 	// offsets holds the offset of each record by key.
 	offsets map[string]uint64
+	// unreadable holds the keys whose newest record can't be decoded.
+	unreadable map[string]struct{}
+}
+
+// Unreadable reports whether the newest record of a key can't be decoded. The view then holds the record before it, if
+// there was one.
+func (v *View) Unreadable(key string) bool {
+	_, unreadable := v.unreadable[key]
+	return unreadable
 }
 
 // MemberBeforeEnd returns the record of a member, and whether the view also has everything appended before that record.
@@ -64,7 +73,7 @@
 	r := &Registrar{entries: map[string]Entry{}}
 	r.view.Store(&View{
 		Members: map[string]Member{}, Tables: map[string]*assigner.Table{}, ByService: map[string][]Member{},
-		offsets: map[string]uint64{},
+		offsets: map[string]uint64{}, unreadable: map[string]struct{}{},
 	})
 	return r
 }
@@ -74,12 +83,13 @@
 
 // Apply merges records, in any order. The end is an offset below which the records and the current view together are
 // complete, or zero if the caller does not know one: records at or above it may follow unread ones. Apply returns an
-// error that names the records that cannot be decoded; the others are applied.
+// error that names the records that cannot be decoded. The others are applied, and the records that those replace are
+// kept: an odd record of another writer must not take the keys of a live owner.
 func (r *Registrar) Apply(entries []Entry, end uint64) error {
 	old := r.View()
 	next := &View{
 		End: max(old.End, end), Members: maps.Clone(old.Members), Tables: maps.Clone(old.Tables), ByService: old.ByService,
-		ByZone: old.ByZone, offsets: maps.Clone(old.offsets),
+		ByZone: old.ByZone, offsets: maps.Clone(old.offsets), unreadable: maps.Clone(old.unreadable),
 	}
 	var failed []string
 	changed := end > old.End
@@ -90,7 +100,9 @@
 		r.entries[e.Key] = e
 		next.offsets[e.Key] = e.Offset
 		changed = true
+		delete(next.unreadable, e.Key)
 		if err := next.apply(e); err != nil {
+			next.unreadable[e.Key] = struct{}{}
 			failed = append(failed, e.Key+": "+err.Error())
 		}
 	}
@@ -106,14 +118,17 @@
 
 func (v *View) apply(e Entry) error {
 	if name, found := strings.CutPrefix(e.Key, memberPrefix); found {
-		delete(v.Members, name)
 		if len(e.Value) == 0 {
+			delete(v.Members, name)
 			return nil
 		}
 		m, err := DecodeMember(e.Value)
 		if err != nil {
 			return err
 		}
+		if m.Name != name {
+			return errors.Errorf("the record names the member %q", m.Name)
+		}
 		v.Members[name] = m
 		return nil
 	}
@@ -129,6 +144,9 @@
 	if err != nil {
 		return err
 	}
+	if t.Service != service {
+		return errors.Errorf("the record names the service %q", t.Service)
+	}
 	v.Tables[service] = t
 	return nil
 }
--- a/sidecar/plan.go
+++ b/sidecar/plan.go
@@ -109,9 +109,14 @@
 	a.applyMu.Lock()
 	settled := timer.Now()-a.lastRecordAt > settleDelay && timer.Now()-a.started > 2*settleDelay
 	a.applyMu.Unlock()
-	if t == nil && !settled {
+	unreadable := v.Unreadable(registrar.TableKey(service))
+	if t == nil && (unreadable || !settled) {
+		// Behind an unreadable record there may be a table whose fencing tokens must not be given out again.
 		return nil, ""
 	}
+	if unreadable {
+		return t.Clone(), "unreadable record"
+	}
 	if t != nil {
 		if s, due := a.unreachableOwner(v, t); due {
 			return assigner.Suspect(t, s), "suspect " + s
--- a/sidecar/publish.go
+++ b/sidecar/publish.go
@@ -155,7 +155,7 @@
 	if own.State == registrar.Absent {
 		own.Incarnation, own.State, own.Slots, own.Service = stored.Incarnation, stored.State, stored.Slots, stored.Service
 	}
-	if found && stored == own {
+	if found && stored == own && !a.registrar.View().Unreadable(registrar.MemberKey(own.Name)) {
 		return nil, nil
 	}
 	value, err := own.Encode()
