executor, platform: don't take an earlier refusal for that of a request that a server runs

A faulty server writes an earlier refusal once more on a kept connection; the caller is told 'not run, try again' for a request that runs, or the request goes to a second server as well. Cause: a refusal without an id was taken for that of any request, also on a connection that had carried others. A request that is sent again to the same server (the owner of its key) has the id of the first attempt, so the echoed id doesn't tell a repeated refusal from a new one.

--- a/carrier/carrier_test.go
+++ b/carrier/carrier_test.go
@@ -212,7 +212,7 @@
 func newPool() *carrier.Pool {
 	return carrier.NewPool(carrier.PoolConfig{
 		ConnectTimeout: time.Second, IdleTimeout: time.Minute, MaxIdle: 32, MaxBody: 1 << 20,
-		Matches: func(q *carrier.Request, h http.Header) bool { return h.Get("Id") == q.Header.Get("Id") },
+		Matches: func(q *carrier.Request, h http.Header, _ bool) bool { return h.Get("Id") == q.Header.Get("Id") },
 	})
 }
 
--- a/carrier/message.go
+++ b/carrier/message.go
@@ -28,6 +28,9 @@
 	// Detached means that the exchange, once the request is sent, continues after its context is cancelled. The deadline
 	// of the context still ends it.
 	Detached bool
+	// NewConn means that the request must be sent on a connection that carried no other. A second response to an earlier
+	// attempt of the same request can't be told from the response to this one.
+	NewConn bool
 }
 
 // Response is a response with its complete body.
--- a/carrier/pool.go
+++ b/carrier/pool.go
@@ -31,8 +31,9 @@
 	MaxBody int
 	// Budget bounds the memory of large response bodies. Nil means no bound beyond MaxBody.
 	Budget *Budget
-	// Matches reports whether a response belongs to a request. Responses that don't are discarded. Nil accepts all.
-	Matches func(*Request, http.Header) bool
+	// Matches reports whether a response belongs to a request. First means that the connection has carried no other
+	// request, whose response it could be. Responses that don't belong to it are discarded. Nil accepts all.
+	Matches func(q *Request, h http.Header, first bool) bool
 }
 
 // ExchangeError is the error of a failed exchange.
@@ -79,6 +80,8 @@
 	net     net.Conn
 	limited limitedReader
 	reader  *bufio.Reader
+	// used means that the connection has carried a request.
+	used bool
 	// expires is the time after which the other end may close the idle connection.
 	expires time.Duration
 }
@@ -101,7 +104,11 @@
 // other end to stop. A request whose sender has left, as package watcher tells, isn't sent. Errors are of type
 // *ExchangeError.
 func (p *Pool) Exchange(ctx context.Context, to netip.AddrPort, q *Request) (*Response, error) {
-	c, err := p.getConn(ctx, to)
+	open := p.getConn
+	if q.NewConn {
+		open = p.dial
+	}
+	c, err := open(ctx, to)
 	if err != nil {
 		return nil, &ExchangeError{Cause: err}
 	}
@@ -115,7 +122,8 @@
 		ctx = detached
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.net.SetDeadline(time.Unix(1, 0)) })
-	x := exchange{pool: p, conn: c, request: q}
+	x := exchange{pool: p, conn: c, request: q, first: !c.used}
+	c.used = true
 	r, reusable, err := x.roundTrip()
 	if !stop() {
 		reusable = false
@@ -219,7 +227,9 @@
 	pool    *Pool
 	conn    *poolConn
 	request *Request
-	sent    bool
+	// first means that the connection has carried no other request.
+	first bool
+	sent  bool
 }
 
 // maxInlineBody is the size in bytes of the largest body that is written before the response is read. Larger ones are
@@ -285,7 +295,7 @@
 		if err != nil {
 			return nil, false, err
 		}
-		if x.pool.config.Matches != nil && !x.pool.config.Matches(x.request, h.Header) {
+		if x.pool.config.Matches != nil && !x.pool.config.Matches(x.request, h.Header, x.first) {
 			if h.Close {
 				return nil, false, errors.Wrap(ErrMalformedResponse, "response belongs to another request")
 			}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -96,8 +96,10 @@
 		config: c,
 		pool: carrier.NewPool(carrier.PoolConfig{
 			ConnectTimeout: connectTimeout, IdleTimeout: idleTimeout, MaxIdle: maxIdle, MaxBody: maxBody,
-			Budget:  c.Budget,
-			Matches: func(q *carrier.Request, h http.Header) bool { return platform.ResponseMatches(q.Header, h) },
+			Budget: c.Budget,
+			Matches: func(q *carrier.Request, h http.Header, first bool) bool {
+				return platform.ResponseMatches(q.Header, h, first)
+			},
 		}),
 		admitter: admitter.New(admitter.Config{QueueLimit: queueLimit, NestedShare: nestedShare}),
 		waiting:  map[uint64]chan admitter.Action{}, responseSizes: map[string]float64{},
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -167,7 +167,7 @@
 // that reach the server.
 func TestWire(t *testing.T) {
 	j := newJob("a", time.Second)
-	j.Keyed, j.Key, j.Priority, j.Detached = true, 77, 2, true
+	j.Keyed, j.Key, j.Priority, j.Detached, j.Resent = true, 77, 2, true, true
 	q := executor.EncodeJob(j)
 	q.Received = timer.Now()
 	decodedJob, err := executor.DecodeJob(q)
--- a/executor/job.go
+++ b/executor/job.go
@@ -67,6 +67,8 @@
 	Key   uint16
 	// Detached means that the request, once sent, continues after the caller disconnects, because it can't be repeated.
 	Detached bool
+	// Resent means that the request was sent to the same member before.
+	Resent bool
 }
 
 // Load is the load of a backend server.
@@ -99,6 +101,7 @@
 	serviceField    = "Hibiscus-Service"
 	keyField        = "Hibiscus-Key"
 	detachedField   = "Hibiscus-Detached"
+	resentField     = "Hibiscus-Resent"
 	idField         = "Hibiscus-Request-Id"
 	outcomeField    = "Hibiscus-Outcome"
 	reasonField     = "Hibiscus-Reason"
@@ -122,6 +125,9 @@
 	if j.Detached {
 		h[detachedField] = []string{"1"}
 	}
+	if j.Resent {
+		h[resentField] = []string{"1"}
+	}
 	q := *j.Request
 	q.Header = h
 	return &q
@@ -132,6 +138,7 @@
 func DecodeJob(q *carrier.Request) (*Job, error) {
 	h := q.Header
 	j := &Job{ID: h.Get(idField), Request: q, Service: h.Get(serviceField), Detached: h.Get(detachedField) != ""}
+	j.Resent = h.Get(resentField) != ""
 	parts := strings.SplitN(h.Get(rankField), " ", 3)
 	if len(parts) != 3 {
 		return nil, errors.New("missing rank")
--- a/executor/send.go
+++ b/executor/send.go
@@ -17,7 +17,7 @@
 	ctx, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
 	q := *j.Request
-	q.Header, q.Detached = q.Header.Clone(), j.Detached
+	q.Header, q.Detached, q.NewConn = q.Header.Clone(), j.Detached, j.Resent
 	platform.SetBackendHeader(q.Header, remaining, s.Instance)
 	response, err := g.pool.Exchange(ctx, g.config.Backend, &q)
 	if err != nil {
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -20,6 +20,7 @@
 
 // attempt forwards the request to a member and records the result for load balancing and retries.
 func (p *forwardedRequest) attempt(ctx context.Context, m registrar.Member) executor.Result {
+	p.job.Resent = p.sends > 0 && p.wasTried(m.Name)
 	p.tried = append(p.tried, m.Name)
 	p.lastMember = m.Name
 	id := memberID(m.Name)
