dispatcher: don't take an earlier refusal of an old epoch for that of a request that a server runs

Change: on a connection that carried other requests, the refusal has to name the request's Hibiscus-Parent; without it the outcome is unknown.

--- a/dispatcher/backend.go
+++ b/dispatcher/backend.go
@@ -93,17 +93,27 @@
 type callResult struct {
 	response *http.Response
 	err      error
-	// connected means that the request may have reached the server.
-	connected bool
+	// connected means that the request may have reached the server, and reused that its connection had carried others.
+	connected, reused bool
 	// malformed means that the head is not a valid HTTP request and nothing was sent.
 	malformed bool
 }
 
+// provesNotRun reports whether the response proves that the server has not run the request with a token. A faulty server
+// may write an earlier refusal once more on a kept connection, so there it must name the request.
+func (c callResult) provesNotRun(token string) bool {
+	return c.response.Header.Get(HeaderFenced) == FencedNotRun &&
+		(!c.reused || c.response.Header.Get(HeaderParent) == token)
+}
+
 // call sends a request to the backend server once. The token identifies it as the parent of nested calls.
 func (b *backend) call(ctx context.Context, address netip.AddrPort, head encoder.Request, a applier.Assignment, token string, body io.Reader) callResult {
-	var connected atomic.Bool
+	var connected, reused atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		GotConn: func(i httptrace.GotConnInfo) {
+			connected.Store(true)
+			reused.Store(i.Reused)
+		},
 	})
 	target := "http://" + address.String() + head.Path
 	request, err := http.NewRequestWithContext(ctx, head.Method, target, opaqueBody{body})
@@ -131,7 +141,7 @@
 		request.Header.Set(HeaderDeadline, strconv.FormatInt(deadline.UnixMilli(), 10))
 	}
 	response, err := b.currentClient().Do(request)
-	return callResult{response: response, err: err, connected: connected.Load()}
+	return callResult{response: response, err: err, connected: connected.Load(), reused: reused.Load()}
 }
 
 // Probes after a broken connection. A crashing server may close its connections shortly before its listener. A single
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -41,8 +41,8 @@
 		return d.handleFailedCall(ctx, j, x, settle, running, release)
 	}
 	defer x.response.Body.Close()
-	if fenced := x.response.Header.Get(HeaderFenced); x.response.StatusCode == http.StatusConflict && fenced != "" {
-		return d.handleFenced(j, fenced, settle, running, release)
+	if x.response.StatusCode == http.StatusConflict && x.response.Header.Get(HeaderFenced) != "" {
+		return d.handleFenced(j, x.provesNotRun(token), settle, running, release)
 	}
 	err := d.relay(j, sink, x.response, settle)
 	d.finishRun(running)
@@ -57,11 +57,11 @@
 	FencedNotRun = "before"
 )
 
-// handleFenced handles a backend server's refusal of an old epoch. The value of HeaderFenced tells when it refused.
-func (d *Dispatcher) handleFenced(j *job, when string, settle func(runResult), r runningRequest, release func(bool)) error {
+// handleFenced handles a backend server's refusal of an old epoch.
+func (d *Dispatcher) handleFenced(j *job, notRun bool, settle func(runResult), r runningRequest, release func(bool)) error {
 	d.suspects.cancel(r)
 	release(false)
-	if when == FencedNotRun {
+	if notRun {
 		settle(runResult{})
 		return d.refuse(j, encoder.FencedOff)
 	}
--- a/emulator/execute.go
+++ b/emulator/execute.go
@@ -142,6 +142,7 @@
 func (s *Server) writeStaleEpoch(w http.ResponseWriter, r *http.Request, when string) {
 	s.count(func(c *ServerCounts) { c.StaleEpochs++ })
 	w.Header().Set("Hibiscus-Fenced", when)
+	w.Header().Set("Hibiscus-Parent", r.Header.Get("Hibiscus-Parent"))
 	s.writeError(w, r, http.StatusConflict, StaleEpoch, "the range was seen with a newer epoch")
 }
 
