platform, sidecar: reject odd heartbeats and deregistrations

What callers would see: another writer's heartbeat for a service that doesn't exist takes the place of the server's until the next one, or for good with a later start; an unreadable deregistration ends a live server. Change: they are rejected with status 400 and a line.

--- a/registrar/member.go
+++ b/registrar/member.go
@@ -51,8 +51,8 @@
 const (
 	// maxCounter leaves room for further increments of an epoch or a revision.
 	maxCounter = 1 << 62
-	// maxSlots is the number of ports of an address. A server can't run more requests at a time.
-	maxSlots = 1 << 16
+	// MaxSlots bounds the slots of a server: the number of ports of an address.
+	MaxSlots = 1 << 16
 )
 
 // DecodeMember decodes and validates a member record.
@@ -66,8 +66,8 @@
 		return Member{}, errors.Errorf("member record of %q: no peer can be reached at %s", m.Name, m.Peer)
 	case m.State > Ended:
 		return Member{}, errors.Errorf("member record of %q: unknown state %d", m.Name, m.State)
-	case m.Slots < 0 || m.Slots > maxSlots:
-		return Member{}, errors.Errorf("member record of %q: %d slots; allowed: 0 to %d", m.Name, m.Slots, maxSlots)
+	case m.Slots < 0 || m.Slots > MaxSlots:
+		return Member{}, errors.Errorf("member record of %q: %d slots; allowed: 0 to %d", m.Name, m.Slots, MaxSlots)
 	case m.Epoch > maxCounter || m.Revision > maxCounter:
 		return Member{}, errors.Errorf("member record of %q: epoch or revision too large", m.Name)
 	}
--- a/sidecar/heartbeat.go
+++ b/sidecar/heartbeat.go
@@ -21,8 +21,12 @@
 		return
 	}
 	h, err := platform.DecodeHeartbeat(id, data)
-	if err == nil && h.Address != a.settings.Backend {
+	switch {
+	case err != nil:
+	case h.Address != a.settings.Backend:
 		err = errWrongAddress
+	case !a.knownService(h.Service):
+		err = errUnknownService
 	}
 	if err != nil {
 		_ = a.logger.Log("event", "heartbeat_rejected", "instance", id, "error", err)
@@ -45,6 +49,17 @@
 	_, _ = w.Write(body) // If the response is lost, the server sends its next heartbeat.
 }
 
+// knownService reports whether a service is that of this sidecar or in the configuration. Without a configuration, any
+// may be.
+func (a *Sidecar) knownService(name string) bool {
+	routes := a.forwarder.Routes()
+	if routes == nil || name == a.settings.Service {
+		return true
+	}
+	_, configured := routes.Services[name]
+	return configured
+}
+
 // maxHeartbeatDelay is how long the response to a heartbeat may be delayed while keys move to the server. The server
 // waits one second for a response.
 const maxHeartbeatDelay = 650 * time.Millisecond
--- a/sidecar/odd_test.go
+++ b/sidecar/odd_test.go
@@ -3,15 +3,18 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
 	"hibiscusline/platform"
+	"hibiscusline/platform/simulator"
 	"hibiscusline/registrar"
 )
 
@@ -54,7 +57,7 @@
 		end := s.overwrite(key, nested)
 		s.await("the record of "+key+" is written again", func() bool { return s.writtenAgain(key, end) })
 		require.True(t, s.allKeysServed(2), "live owners keep serving")
-		require.Equal(t, http.StatusOK, s.send(s.nodes[0], http.MethodPost, "/orders/1", -1).Status)
+		require.Equal(t, http.StatusOK, s.send(s.nodes[0], http.MethodPost, "/orders/1", simulator.NoKey).Status)
 	}
 	s.overwrite("elsewhere", nested)
 	s.overwrite(registrar.MemberKey("nobody"), nested)
@@ -85,3 +88,29 @@
 	time.Sleep(4 * time.Second)
 	require.False(t, s.writtenAgain(registrar.TableKey("stock"), end))
 }
+
+// TestOddHeartbeat guards against a heartbeat or a deregistration of another writer that takes the place of the server's.
+func TestOddHeartbeat(t *testing.T) {
+	t.Parallel()
+	s := newCluster(t, 1, 1)
+	n := s.nodes[1]
+	post := func(path string, body map[string]any) int {
+		data, err := cbor.Marshal(body)
+		require.NoError(t, err)
+		r, err := http.Post(fmt.Sprintf("http://%s%s", n.settings.Local, path), platform.ContentType, bytes.NewReader(data))
+		require.NoError(t, err)
+		require.NoError(t, r.Body.Close())
+		return r.StatusCode
+	}
+	heartbeat := map[string]any{
+		"address": n.settings.Backend.String(), "born": time.Now().Add(time.Hour).UnixMilli(),
+		"info":   map[string]any{"service": "nowhere", "slots": 12},
+		"status": map[string]any{"state": "ready", "seq": 1},
+	}
+	require.Equal(t, http.StatusBadRequest, post(platform.HeartbeatPath+"i-odd", heartbeat))
+	require.Equal(t, http.StatusBadRequest, post(platform.DeregisterPath+n.config.ID, map[string]any{"born": "today"}))
+	for range 20 {
+		require.Equal(t, http.StatusOK, s.send(s.nodes[0], http.MethodPost, "/orders/1", simulator.NoKey).Status)
+		time.Sleep(testHeartbeat / 5)
+	}
+}
--- a/sidecar/publish.go
+++ b/sidecar/publish.go
@@ -13,7 +13,11 @@
 	"hibiscusline/timer"
 )
 
-var errWrongAddress = errors.New("heartbeat: the address isn't that of the server beside the process")
+// Reasons to reject a heartbeat that can be decoded.
+var (
+	errWrongAddress   = errors.New("heartbeat: the address isn't that of the server beside the process")
+	errUnknownService = errors.New("heartbeat: the service is not configured")
+)
 
 // confirmGrants enables grants once the store holds a record of this sidecar that names the server's current
 // incarnation as a possible holder of keys. Before that, other sidecars may still reassign its keys.
--- a/sidecar/server.go
+++ b/sidecar/server.go
@@ -142,7 +142,12 @@
 	if err != nil {
 		return
 	}
-	incarnation := platform.DecodeIncarnation(r.PathValue("id"), data)
+	incarnation, err := platform.DecodeIncarnation(r.PathValue("id"), data)
+	if err != nil {
+		_ = a.logger.Log("event", "deregistration_rejected", "instance", r.PathValue("id"), "error", err)
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	s := &a.server
