soaker: callers that leave, and a check that their requests don't reach servers afterwards

A quarter of the requests is left by its caller within 20 ms, while processes are paused, killed, stopped and cut off. A request that reaches a server over half a second later is a violation: the soak never had callers that leave, so it could not see GONE.

--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -36,11 +36,13 @@
 
 // Report is the result of a run. Problems has one text for each violation.
 type Report struct {
-	Seed     uint64   `json:"seed"`
-	Faults   int      `json:"faults"`
-	Requests int      `json:"requests"`
-	Served   int      `json:"served"`
-	Problems []string `json:"problems"`
+	Seed     uint64 `json:"seed"`
+	Faults   int    `json:"faults"`
+	Requests int    `json:"requests"`
+	Served   int    `json:"served"`
+	// Departures is the number of requests whose callers left before they read a response.
+	Departures int      `json:"departures"`
+	Problems   []string `json:"problems"`
 }
 
 // Timing and load of a run.
@@ -53,7 +55,12 @@
 	recoveryTimeout = 15 * time.Second
 	requestInterval = 8 * time.Millisecond
 	callerCount     = 6
-	faultInterval   = 400 * time.Millisecond
+	// One in departureInterval requests is left by its caller, within maxStay. It may reach a server up to
+	// maxDepartureDelay later.
+	departureInterval = 4
+	maxStay           = 20 * time.Millisecond
+	maxDepartureDelay = 500 * time.Millisecond
+	faultInterval     = 400 * time.Millisecond
 	// keyStep is the distance between the keys that are checked. The keys are 0 to 1<<16 - 1.
 	keyStep = 1500
 )
@@ -71,7 +78,9 @@
 	mu        sync.Mutex
 	responses []simulator.Response
 	orders    map[string]bool
-	repairs   sync.WaitGroup
+	// departures holds the requests whose callers left before they read a response.
+	departures []simulator.Departure
+	repairs    sync.WaitGroup
 }
 
 // Run runs processes under faults and reports what it found. It returns an error if the processes could not be started
@@ -176,12 +185,15 @@
 	for ctx.Err() == nil {
 		n := s.nodes[rand.IntN(len(s.nodes))]
 		order := rand.IntN(2) == 0
-		var r simulator.Response
+		method, path, key := http.MethodGet, "/stock/x", rand.IntN(1<<16)
 		if order {
-			r = s.caller.Send(n.settings.Listen, http.MethodPost, "/orders/1", simulator.NoKey)
-		} else {
-			r = s.caller.Send(n.settings.Listen, http.MethodGet, "/stock/x", rand.IntN(1<<16))
+			method, path, key = http.MethodPost, "/orders/1", simulator.NoKey
 		}
+		if rand.IntN(departureInterval) == 0 {
+			s.leave(n, method, path, key)
+			continue
+		}
+		r := s.caller.Send(n.settings.Listen, method, path, key)
 		s.mu.Lock()
 		s.responses = append(s.responses, r)
 		s.orders[r.ID] = order
@@ -190,6 +202,17 @@
 	}
 }
 
+// leave sends a request and leaves after a short time.
+func (s *soakRun) leave(n *node, method, path string, key int) {
+	d, err := s.caller.Leave(n.settings.Listen, method, path, key, time.Duration(rand.Int64N(int64(maxStay))))
+	if err != nil {
+		return // The process is down.
+	}
+	s.mu.Lock()
+	s.departures = append(s.departures, d)
+	s.mu.Unlock()
+}
+
 // report checks every response against the executions at the backend servers, and adds the problems it finds.
 func (s *soakRun) report(problems []string) Report {
 	problems = append(problems, s.checker.Problems()...)
@@ -209,7 +232,12 @@
 			served++
 		}
 	}
-	return Report{Seed: s.config.Seed, Faults: s.faults, Requests: len(s.responses), Served: served, Problems: problems}
+	for _, d := range s.departures {
+		if s.checker.RunsAfter(d.ID, d.At.Add(maxDepartureDelay)) > 0 {
+			problems = append(problems, fmt.Sprintf("request %s reached a server over %v after its caller had left", d.ID, maxDepartureDelay))
+		}
+	}
+	return Report{Seed: s.config.Seed, Faults: s.faults, Requests: len(s.responses), Served: served, Departures: len(s.departures), Problems: problems}
 }
 
 func (s *soakRun) stopAll() {
