carrier: reset the connection of an abandoned exchange

What callers would see: GONE. A request that a cut link or the kernel of a busy process holds up reaches its server when the link heals, although its caller left and the entry closed the connection. Cause: an ordinary close delivers what was written before it. The process at the other end sees the close behind the request, but a server may not look for it. Change: an exchange whose context ended resets its connection, which drops what hasn't arrived. The proxy of package disruptor drops what it holds when its sender resets, as a link does; it delivered it before.

--- a/carrier/departure_test.go
+++ b/carrier/departure_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"hibiscusline/carrier"
+	"hibiscusline/disruptor"
 )
 
 // startEchoServer starts a server that responds to all requests. It returns its address and the number of requests that
@@ -176,3 +177,23 @@
 	require.ErrorIs(t, err, context.DeadlineExceeded)
 	require.EqualValues(t, 1, requests.Load())
 }
+
+// TestHeldUpRequest guards against a request that a cut link holds up and delivers after its caller has left (GONE).
+func TestHeldUpRequest(t *testing.T) {
+	backend, requests := startEchoServer(t)
+	link, err := disruptor.New(disruptor.Config{Listen: netip.MustParseAddrPort("127.0.0.1:0"), Upstream: backend})
+	require.NoError(t, err)
+	defer func() { require.NoError(t, link.Close()) }()
+	pool := newPool()
+	_, err = pool.Exchange(t.Context(), link.Addr(), newRequest("a"))
+	require.NoError(t, err)
+	link.Blackhole(true)
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	_, err = pool.Exchange(ctx, link.Addr(), newRequest("b"))
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	time.Sleep(100 * time.Millisecond)
+	link.Blackhole(false)
+	time.Sleep(300 * time.Millisecond)
+	require.EqualValues(t, 1, requests.Load())
+}
--- a/carrier/pool.go
+++ b/carrier/pool.go
@@ -100,8 +100,8 @@
 	return p.opened
 }
 
-// Exchange sends a request once and returns the response. If ctx ends first, it closes the connection, which tells the
-// other end to stop. A request whose sender has left, as package watcher tells, isn't sent. Errors are of type
+// Exchange sends a request once and returns the response. If ctx ends first, it resets the connection, which tells the
+// other end to stop and drops what hasn't arrived yet. A request whose sender has left, as package watcher tells, isn't sent. Errors are of type
 // *ExchangeError.
 func (p *Pool) Exchange(ctx context.Context, to netip.AddrPort, q *Request) (*Response, error) {
 	open := p.getConn
@@ -128,15 +128,16 @@
 	if !stop() {
 		reusable = false
 	}
-	if err != nil || !reusable {
+	switch {
+	case err != nil && ctx.Err() != nil:
+		err = ctx.Err()
+		resetConn(c.net)
+	case err != nil || !reusable:
 		_ = c.net.Close()
-	} else {
+	default:
 		p.putConn(to, c)
 	}
 	if err != nil {
-		if ctx.Err() != nil {
-			err = ctx.Err()
-		}
 		return nil, &ExchangeError{Sent: x.sent, Cause: err}
 	}
 	return r, nil
--- a/carrier/socket.go
+++ b/carrier/socket.go
@@ -36,6 +36,15 @@
 	})
 }
 
+// resetConn closes a connection with a reset. An ordinary close would go on delivering what the kernel and a cut link
+// still hold, long after the sender of the request has left.
+func resetConn(nc net.Conn) {
+	if t, ok := nc.(*net.TCPConn); ok {
+		_ = t.SetLinger(0) // Without it, the connection is closed in the ordinary way.
+	}
+	_ = nc.Close()
+}
+
 // isReusable reports whether an idle connection is open and has no unread bytes. Unread bytes are a second response to
 // an earlier request, or the end of the connection.
 func isReusable(nc net.Conn) bool {
--- a/disruptor/tcp.go
+++ b/disruptor/tcp.go
@@ -135,7 +135,12 @@
 	readErr := make(chan error, 1)
 	p.workers.Go(func() {
 		defer close(chunks)
-		readErr <- p.read(pair, d, source, chunks)
+		err := p.read(pair, d, source, chunks)
+		if err != nil {
+			// What a link still holds is lost when its sender resets the connection.
+			pair.reset()
+		}
+		readErr <- err
 	})
 	if !p.write(pair, d, target, chunks) {
 		// The reset also ends the reading goroutine.
