admitter: ranks of one urgency take turns

Cause: routes that are added have a rank of their own (their target differs) with the urgency of the first ones. Ranks of one urgency were served strictly in the order in which they were met, so the later one starved. Change: of the most urgent ranks, the one whose oldest request arrived first gets the next slot; the expected wait counts the queues of all ranks that are as urgent. The order in which the ranks are met makes no difference.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -123,7 +123,7 @@
 		a.actions = append(a.actions, Refuse{ID: e.ID, Reason: UnknownRank})
 		return
 	}
-	n := &request{Arrive: e, queue: q}
+	n := &request{Arrive: e, queue: q, arrived: a.now}
 	a.requests[e.ID] = n
 	switch {
 	case a.slots == 0:
--- a/admitter/choose.go
+++ b/admitter/choose.go
@@ -52,7 +52,7 @@
 }
 
 // nextByRank returns a request of the rank with the highest credit relative to its floor, or of the most urgent rank if
-// no rank has credit.
+// no rank has credit. Ranks of the same urgency take turns in the order in which their oldest requests arrived.
 func (a *Admitter) nextByRank() *request {
 	plainAllowed := a.running-a.nestedRunning < a.slots-a.reservedSlots()
 	var first, owed *queue
@@ -60,7 +60,7 @@
 		if len(q.nested) == 0 && (len(q.plain) == 0 || !plainAllowed) {
 			continue
 		}
-		if first == nil {
+		if first == nil || q.Urgency == first.Urgency && q.oldestArrival() < first.oldestArrival() {
 			first = q
 		}
 		if q.Floor > 0 && q.credit > 0 && (owed == nil || float64(q.credit)/q.Floor > float64(owed.credit)/owed.Floor) {
@@ -138,8 +138,8 @@
 // minStartRate is the lower bound on the start rate of a standing queue in wait estimates, in starts per second.
 const minStartRate = 0.5
 
-// expectedWait estimates how long a new request waits for a slot: the queued work of its rank and of more urgent ranks,
-// divided by the slots that the more urgent ranks leave free. The floor of the rank caps the estimate.
+// expectedWait estimates how long a new request waits for a slot: the queued work of its rank and of those that are as
+// urgent or more, divided by the slots that the more urgent ranks leave free. The floor of the rank caps the estimate.
 func (a *Admitter) expectedWait(e *request) time.Duration {
 	if e.Exclusive {
 		return a.exclusive.expectedWait(a.now)
@@ -160,11 +160,13 @@
 	}
 	ahead, freeSlots := own, float64(a.slots)
 	for _, q := range a.queues {
-		if q == e.queue {
-			break
+		if q == e.queue || q.Urgency > e.queue.Urgency {
+			continue
 		}
 		ahead += time.Duration(q.waiting()) * q.serviceTime.mean
-		freeSlots -= q.busy
+		if q.Urgency < e.queue.Urgency {
+			freeSlots -= q.busy
+		}
 	}
 	wait := float64(ahead) / max(freeSlots, minFreeSlots)
 	if floor := e.queue.Floor * float64(a.slots); floor > 0 {
--- a/admitter/flood_test.go
+++ b/admitter/flood_test.go
@@ -208,3 +208,31 @@
 		require.Equal(t, []Action{Start{ID: id + 4}}, a.Step(now, Finish{ID: id, Completed: true}))
 	}
 }
+
+// TestEqualUrgency guards against a rank that starves behind a flood of another rank of the same urgency, in whichever
+// order the ranks were met: routes that are added later have ranks of their own.
+func TestEqualUrgency(t *testing.T) {
+	const seconds = 22
+	for _, floodFirst := range []bool{true, false} {
+		flood := workload{
+			Rank: Rank{Name: "first", Target: 800 * time.Millisecond}, rate: 400, service: 100 * time.Millisecond, timeout: 5 * time.Second,
+		}
+		few := workload{
+			Rank: Rank{Name: "added", Target: time.Second}, rate: 10, service: 100 * time.Millisecond, timeout: 5 * time.Second,
+		}
+		list := []workload{flood, few}
+		if !floodFirst {
+			list = []workload{few, flood}
+		}
+		o := simulate(Config{Slots: 12, QueueLimit: 512}, list, seconds)
+		t.Logf("%+v", o)
+		share := map[string]float64{}
+		for i, w := range list {
+			share[w.Name] = float64(o[i].inTime+o[i].late) / float64(o[i].arrived)
+		}
+		// The slots serve 120 of 410 requests a second. Neither rank may get less than half of its part of them.
+		const fair = 120.0 / 410
+		require.Greater(t, share["added"], fair/2)
+		require.Greater(t, share["first"], fair/2)
+	}
+}
--- a/admitter/rank.go
+++ b/admitter/rank.go
@@ -34,6 +34,7 @@
 type request struct {
 	Arrive
 	queue   *queue
+	arrived time.Duration
 	running bool
 	started time.Duration
 	// charged is the expected service time when the request started, which settle replaces by the actual one.
@@ -42,6 +43,17 @@
 
 func (q *queue) waiting() int { return len(q.nested) + len(q.plain) }
 
+// oldestArrival returns the time at which the oldest waiting request arrived. One must be waiting.
+func (q *queue) oldestArrival() time.Duration {
+	switch {
+	case len(q.nested) == 0:
+		return q.plain[0].arrived
+	case len(q.plain) == 0:
+		return q.nested[0].arrived
+	}
+	return min(q.nested[0].arrived, q.plain[0].arrived)
+}
+
 // waitList returns the list in which a request of the rank waits.
 func (q *queue) waitList(nested bool) *[]*request {
 	if nested {
