forwarder: tell callers the time that a saturated link has named

What callers saw: an entry that remembers that a member's link is saturated refused further requests with the rest of its 80 ms as Retry-After, so they came back and were refused again while the link was busy for seconds. Result: TestBusyLinkIsRemembered demands more than a second while the link is busy for ten; it failed before.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -14,10 +13,6 @@
 	"hibiscusline/timer"
 )
 
-// maxBusyLinkDelay bounds how long a member is skipped after its link was saturated. Skipping saves the bandwidth
-// that its refusals would use.
-const maxBusyLinkDelay = 80 * time.Millisecond
-
 // attempt forwards the request to a member and records the result for load balancing and retries.
 func (p *forwardedRequest) attempt(ctx context.Context, m registrar.Member) executor.Result {
 	p.job.Resent = p.sends > 0 && p.wasTried(m.Name)
@@ -36,9 +31,7 @@
 	if r.Load.Slots > 0 {
 		p.service.loads[m.Name] = reportedLoad{Load: r.Load, reportedAt: now}
 	}
-	if r.Reason == executor.LinkBusy {
-		p.service.busyLinks[linkKey{m.Name, p.match.Rank}] = now + min(r.RetryAfter, maxBusyLinkDelay)
-	}
+	p.service.linkRefusals.record(refusalKey{m.Name, p.match.Rank}, now, r)
 	if r.Reached {
 		p.sends++
 		if p.sends == 1 {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -88,12 +88,9 @@
 	retries            *retrier.Budget
 	firstSeen          map[string]time.Duration
 	loads              map[string]reportedLoad
-	// busyLinks holds, for each member and rank, when a member whose link was saturated may be tried again.
-	busyLinks map[linkKey]time.Duration
+	linkRefusals       linkRefusals
 }
 
-type linkKey struct{ member, rank string }
-
 type reportedLoad struct {
 	executor.Load
 	reportedAt time.Duration
@@ -126,7 +123,7 @@
 			transparentRetries: retrier.NewBudget(f.config.TransparentRetries),
 			retries:            retrier.NewBudget(f.config.Retries),
 			firstSeen:          map[string]time.Duration{}, loads: map[string]reportedLoad{},
-			busyLinks: map[linkKey]time.Duration{},
+			linkRefusals: linkRefusals{},
 		}
 		f.services[name] = s
 	}
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -183,7 +184,7 @@
 }
 
 // TestBusyLinkIsRemembered guards against repeated requests to a member whose link is saturated, since each refusal
-// takes more of that link.
+// takes more of that link, and against callers that are called back before the link has room.
 func TestBusyLinkIsRemembered(t *testing.T) {
 	const size = 90_000
 	var lines strings.Builder
@@ -203,7 +204,9 @@
 	for range 20 {
 		r := f.send("b")
 		require.Equal(t, http.StatusServiceUnavailable, r.Status)
-		require.NotEmpty(t, r.Header.Get("Retry-After"))
+		after, err := strconv.ParseFloat(r.Header.Get("Retry-After"), 64)
+		require.NoError(t, err)
+		require.Greater(t, after, 1.0, "the link is busy for over ten seconds")
 	}
 	require.EqualValues(t, 1, f.requests.Load(), "none of them ran")
 	require.Less(t, strings.Count(lines.String(), "event=job"), 20, "most requests are refused without a new attempt")
--- a/forwarder/forwarding.go
+++ b/forwarder/forwarding.go
@@ -34,9 +34,8 @@
 	// lastAnswered is the latest result with a response. A further attempt follows only if that was a server error.
 	lastAnswered *executor.Result
 	lastMember   string
-	// linkFreeAt is the earliest time at which a member that was skipped because of its link may be tried again, or
-	// zero.
-	linkFreeAt time.Duration
+	// refusedBy is, of the refusals for which members were skipped, the one whose member expects room first.
+	refusedBy *refusal
 }
 
 // Limits of one request.
@@ -72,10 +71,8 @@
 			if try > 0 {
 				return last
 			}
-			if p.linkFreeAt != 0 {
-				return executor.Result{
-					Outcome: executor.NotRun, Reason: executor.LinkBusy, RetryAfter: max(p.linkFreeAt-timer.Now(), 0),
-				}
+			if p.refusedBy != nil {
+				return p.refusedBy.result(timer.Now())
 			}
 			return executor.Result{
 				Outcome: executor.NotRun, Reason: executor.NoServer, RetryAfter: notReadyRetryAfter,
@@ -154,9 +151,9 @@
 		if m.State != registrar.Ready || m.Stopping || p.wasTried(m.Name) || p.forwarder.config.Peers.DownFor(m.Peer) > 0 {
 			continue
 		}
-		if free := p.service.busyLinks[linkKey{m.Name, p.match.Rank}]; now < free {
-			if p.linkFreeAt == 0 || free < p.linkFreeAt {
-				p.linkFreeAt = free
+		if e, refused := p.service.linkRefusals.lookUp(refusalKey{m.Name, p.match.Rank}, now); refused {
+			if p.refusedBy == nil || e.retryAt < p.refusedBy.retryAt {
+				p.refusedBy = &e
 			}
 			continue
 		}
