sidecar: one wait for new records

Cause: a heartbeat that waits for incoming keys and a sync request that waits for news had the same loop. Change: waitUntil takes the condition. No behaviour changes; the package's tests pass.

--- a/sidecar/heartbeat.go
+++ b/sidecar/heartbeat.go
@@ -68,22 +68,10 @@
 // the next one, a heartbeat interval later.
 func (a *Sidecar) awaitIncomingSlices(ctx context.Context, h platform.BackendHeartbeat) {
 	self := assigner.Owner{Member: a.settings.Name, Incarnation: h.Incarnation}
-	end := time.NewTimer(maxHeartbeatDelay)
-	defer end.Stop()
-	for {
-		updated := a.updates.wait()
+	a.waitUntil(ctx, maxHeartbeatDelay, func() bool {
 		t := a.registrar.View().Tables[a.settings.Service]
-		if h.Draining || t == nil || !t.HasIncoming(self) || a.hasPendingChange() {
-			return
-		}
-		select {
-		case <-updated:
-		case <-end.C:
-			return
-		case <-ctx.Done():
-			return
-		}
-	}
+		return h.Draining || t == nil || !t.HasIncoming(self) || a.hasPendingChange()
+	})
 }
 
 // hasPendingChange reports whether a grant or a release waits for the response to this heartbeat, which must then not
--- a/sidecar/sync.go
+++ b/sidecar/sync.go
@@ -214,6 +214,13 @@
 
 // awaitUpdates waits up to a limit while this sidecar has the same records and configuration as the requesting one.
 func (a *Sidecar) awaitUpdates(ctx context.Context, from, version uint64, limit time.Duration) {
+	a.waitUntil(ctx, limit, func() bool {
+		return a.registrar.View().End != from || a.version() != version || a.stopping.Load()
+	})
+}
+
+// waitUntil waits up to a limit until new records or a new configuration make a condition true.
+func (a *Sidecar) waitUntil(ctx context.Context, limit time.Duration, met func() bool) {
 	if limit <= 0 {
 		return
 	}
@@ -221,7 +228,7 @@
 	defer end.Stop()
 	for {
 		updated := a.updates.wait()
-		if a.registrar.View().End != from || a.version() != version || a.stopping.Load() {
+		if met() {
 			return
 		}
 		select {
