sidecar: say that the store answers again also while others read the records

Cause: a process that leaves its reads of the records to others of its zone logged dependency_lost after a failed read of the configuration, and dependency_regained only at its next own read of the records, which may never come. Change: a successful read of the configuration counts while the records are read by others.

--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -85,6 +85,10 @@
 				return
 			}
 		}
+		if err == nil && a.delegated.Load() {
+			// Nothing else shows that the store answers again while others read the records.
+			a.storeHealth.markUp()
+		}
 		for _, e := range entries {
 			if e.Key == platform.ConfigurationKey && len(e.Value) > 0 {
 				a.applyConfiguration(e.Value, "store")
