admitter: one queue for both programs

Cause: dispatcher and executor each delivered the admitter's decisions to waiting requests, in copies of the same code. Change: admitter.Queue and admitter.Await. Rates, ticks and loads stay where they were. In the dispatcher, too, a decision that is there now goes before the end of the context.

--- a/dispatcher/queue.go
+++ b/dispatcher/queue.go
@@ -10,13 +10,11 @@
 	"hibiscusline/timer"
 )
 
-// admissionQueue makes an admitter.Admitter usable by concurrent requests: it blocks them until the admitter starts or
-// refuses them.
+// admissionQueue makes an admitter.Queue usable by concurrent requests: it blocks them until the admitter starts or refuses
+// them.
 type admissionQueue struct {
-	mu       sync.Mutex
-	admitter *admitter.Admitter
-	nextID   uint64
-	waiting  map[uint64]chan admitter.Action
+	mu    sync.Mutex
+	queue *admitter.Queue
 	// queued receives a value when a request is queued.
 	queued chan struct{}
 	// windowStart and finished determine the rate of completed requests over the last window.
@@ -25,33 +23,13 @@
 	rate        float64
 	offered     float64
 	slots       int
-	running     int
 }
 
 // rateWindow is the time over which the rate of completed requests is measured.
 const rateWindow = time.Second
 
 func newAdmissionQueue(c admitter.Config) *admissionQueue {
-	return &admissionQueue{admitter: admitter.New(c), waiting: map[uint64]chan admitter.Action{}, queued: make(chan struct{}, 1), slots: c.Slots}
-}
-
-// step passes an event to the admitter and wakes the requests that the resulting actions concern. The lock must be
-// held.
-func (q *admissionQueue) step(e admitter.Event) {
-	for _, action := range q.admitter.Step(timer.Now(), e) {
-		var id uint64
-		switch a := action.(type) {
-		case admitter.Start:
-			id = a.ID
-			q.running++
-		case admitter.Refuse:
-			id = a.ID
-		}
-		if ch, present := q.waiting[id]; present {
-			ch <- action
-			delete(q.waiting, id)
-		}
-	}
+	return &admissionQueue{queue: admitter.NewQueue(c), queued: make(chan struct{}, 1), slots: c.Slots}
 }
 
 // tick makes the admitter refuse requests whose deadlines can no longer be met. It reports whether any request is
@@ -59,13 +37,13 @@
 func (q *admissionQueue) tick() bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.step(admitter.Tick{})
 	now := timer.Now()
+	q.queue.Step(now, admitter.Tick{})
 	if span := now - q.windowStart; span >= rateWindow {
 		q.rate = float64(q.finished) / span.Seconds()
 		q.windowStart, q.finished = now, 0
 	}
-	return len(q.waiting) > 0
+	return q.queue.Waiting() > 0
 }
 
 func (q *admissionQueue) apply(e admitter.Event) {
@@ -74,14 +52,14 @@
 	if r, ok := e.(admitter.Resize); ok {
 		q.slots = r.Slots
 	}
-	q.step(e)
+	q.queue.Step(timer.Now(), e)
 }
 
 // preview returns the refusal that a request would receive now, or nil if it would be admitted or queued.
 func (q *admissionQueue) preview(a admitter.Arrive) *encoder.Response {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	refuse, refused := q.admitter.Preview(timer.Now(), a)
+	refuse, refused := q.queue.Admitter().Preview(timer.Now(), a)
 	if !refused {
 		return nil
 	}
@@ -92,27 +70,19 @@
 // admit waits until the request may start. It returns the function that releases the slot, or the refusal.
 func (q *admissionQueue) admit(ctx context.Context, a admitter.Arrive) (func(completed bool), *encoder.Response) {
 	q.mu.Lock()
-	q.nextID++
-	a.ID = q.nextID
-	decided := make(chan admitter.Action, 1)
-	q.waiting[a.ID] = decided
-	q.step(a)
-	if _, waits := q.waiting[a.ID]; waits {
+	id, decided := q.queue.Add(timer.Now(), a)
+	if len(decided) == 0 {
 		select {
 		case q.queued <- struct{}{}:
 		default:
 		}
 	}
 	q.mu.Unlock()
-	select {
-	case action := <-decided:
-		return q.resultOf(a.ID, action)
-	case <-ctx.Done():
+	action, cancelled := admitter.Await(ctx, decided, func() { q.apply(admitter.Cancel{ID: id}) })
+	release, refusal := q.resultOf(id, action)
+	if !cancelled {
+		return release, refusal
 	}
-	q.mu.Lock()
-	q.step(admitter.Cancel{ID: a.ID})
-	q.mu.Unlock()
-	release, refusal := q.resultOf(a.ID, <-decided)
 	if refusal == nil {
 		release(false)
 		refusal = &encoder.Response{Outcome: encoder.NotRun, Reason: encoder.Cancelled}
@@ -132,11 +102,10 @@
 		once.Do(func() {
 			q.mu.Lock()
 			defer q.mu.Unlock()
-			q.running--
 			if completed {
 				q.finished++
 			}
-			q.step(admitter.Finish{ID: id, Completed: completed})
+			q.queue.Finish(timer.Now(), id, completed)
 		})
 	}, nil
 }
@@ -158,8 +127,8 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	return encoder.Load{
-		Running: q.running, Queued: len(q.waiting), Slots: q.slots,
-		LowestAdmitted: q.admitter.LowestAdmitted(), Rate: q.rate, Offered: q.offered,
+		Running: q.queue.Running(), Queued: q.queue.Waiting(), Slots: q.slots,
+		LowestAdmitted: q.queue.Admitter().LowestAdmitted(), Rate: q.rate, Offered: q.offered,
 	}
 }
 
@@ -167,5 +136,5 @@
 func (d *Dispatcher) Admission() any {
 	d.admission.mu.Lock()
 	defer d.admission.mu.Unlock()
-	return d.admission.admitter.Snapshot()
+	return d.admission.queue.Admitter().Snapshot()
 }
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -51,11 +51,8 @@
 
 	mu            sync.Mutex
 	server        Server
-	admitter      *admitter.Admitter
+	queue         *admitter.Queue
 	ranks         []admitter.Rank
-	waiting       map[uint64]chan admitter.Action
-	lastID        uint64
-	running       int
 	tickScheduled bool
 	arrivals      arrivalRates
 	stall         carrier.StallDetector
@@ -101,8 +98,8 @@
 				return platform.ResponseMatches(q.Header, h, first)
 			},
 		}),
-		admitter: admitter.New(admitter.Config{QueueLimit: queueLimit, NestedShare: nestedShare}),
-		waiting:  map[uint64]chan admitter.Action{}, responseSizes: map[string]float64{},
+		queue:         admitter.NewQueue(admitter.Config{QueueLimit: queueLimit, NestedShare: nestedShare}),
+		responseSizes: map[string]float64{},
 	}
 }
 
@@ -111,7 +108,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if s.Slots != g.server.Slots {
-		g.step(admitter.Resize{Slots: s.Slots})
+		g.queue.Step(timer.Now(), admitter.Resize{Slots: s.Slots})
 	}
 	g.server = s
 }
@@ -124,9 +121,10 @@
 }
 
 func (g *Executor) load() Load {
+	serviceTime := g.queue.Admitter().MeanServiceTime()
 	return Load{
-		Running: g.running, Waiting: len(g.waiting), Slots: g.server.Slots, ServiceTime: g.admitter.MeanServiceTime(),
-		Offered: g.arrivals.rate(timer.Now()) * g.admitter.MeanServiceTime().Seconds() / float64(max(g.server.Slots, 1)),
+		Running: g.queue.Running(), Waiting: g.queue.Waiting(), Slots: g.server.Slots, ServiceTime: serviceTime,
+		Offered: g.arrivals.rate(timer.Now()) * serviceTime.Seconds() / float64(max(g.server.Slots, 1)),
 	}
 }
 
@@ -170,8 +168,8 @@
 	}
 	g.config.Link.reserve(size)
 	defer g.config.Link.reserve(-size)
-	id, action := g.enqueue(j)
-	if r, refused := g.awaitSlot(ctx, j, id, action); refused {
+	id, decided := g.enqueue(j)
+	if r, refused := g.awaitSlot(ctx, id, decided); refused {
 		return r
 	}
 	started := timer.Now()
@@ -214,7 +212,7 @@
 		return s, Result{Outcome: NotRun, Reason: reason, RetryAfter: defaultRetryAfter}, true
 	}
 	g.mu.Lock()
-	stalled := g.stall.Stalled(now, max(stallTimeout, stallServiceTimes*g.admitter.MeanServiceTime()))
+	stalled := g.stall.Stalled(now, max(stallTimeout, stallServiceTimes*g.queue.Admitter().MeanServiceTime()))
 	g.mu.Unlock()
 	switch {
 	case stalled:
@@ -236,6 +234,5 @@
 func (g *Executor) finish(id uint64, completed bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.running--
-	g.step(admitter.Finish{ID: id, Completed: completed})
+	g.queue.Finish(timer.Now(), id, completed)
 }
