carrier: idle connections make room for new ones

Cause: callers open a connection for each retry and keep it. A sidecar accepts connections for half of its descriptors, 2,050. The processes were not short of processor time: once read, requests took a few milliseconds. Change: from nine tenths of the places on, each new connection closes the longest idle one. One whose next request has begun is not idle any more, so it isn't closed, here and at a graceful stop.

--- a/carrier/carrier_test.go
+++ b/carrier/carrier_test.go
@@ -187,6 +187,52 @@
 	require.True(t, response.Close)
 }
 
+// TestIdleConnectionsMakeRoom guards against callers that aren't read for seconds because all places are taken by idle
+// connections, which made them leave before their requests were read (GONE) and held them past their timeouts (CONFIG),
+// and against busy connections that are closed to make room.
+func TestIdleConnectionsMakeRoom(t *testing.T) {
+	const places = 20
+	finish := make(chan struct{})
+	_, address := startServer(t, carrier.ServerConfig{
+		MaxConnections: places,
+		Limits: func() carrier.Limits {
+			l := testLimits()
+			l.IdleTimeout = time.Minute
+			return l
+		},
+		Handle: func(ctx context.Context, q *carrier.Request) *carrier.Response {
+			if q.Target == "/busy" {
+				<-finish
+			}
+			return echo(ctx, q)
+		},
+	})
+	request := func(target string) *bufio.Reader {
+		c := dial(t, address)
+		_, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", target)
+		require.NoError(t, err)
+		return bufio.NewReader(c)
+	}
+	require200 := func(r *bufio.Reader) {
+		t.Helper()
+		response, err := http.ReadResponse(r, nil)
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, response.Body)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, response.StatusCode)
+	}
+	busy := []*bufio.Reader{request("/busy"), request("/busy")}
+	start := time.Now()
+	for range 3 * places {
+		require200(request("/"))
+	}
+	require.Less(t, time.Since(start), 15*time.Second, "callers wait for the idle timeout of others")
+	close(finish)
+	for _, r := range busy {
+		require200(r)
+	}
+}
+
 // startScriptedServer starts a server that handles each connection with a script. It returns its address and a counter
 // for the requests that the script reads.
 func startScriptedServer(
--- a/carrier/conn.go
+++ b/carrier/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"container/list"
 	"context"
 	"errors"
 	"io"
@@ -46,8 +47,13 @@
 	// pipeline holds a value for each further request that may be unanswered.
 	pipeline chan struct{}
 
+	// idleElement is the connection's element in the server's list of idle ones. The server's mutex guards it.
+	idleElement *list.Element
+
 	mu      sync.Mutex
 	pending int
+	// reading means that the first byte of a request was read and the request is not pending yet.
+	reading bool
 	closing bool
 }
 
@@ -120,6 +126,7 @@
 func (c *conn) startRequest() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.reading = false
 	if c.closing || c.ctx.Err() != nil {
 		return false
 	}
@@ -176,11 +183,15 @@
 	}
 	c.mu.Lock()
 	c.pending--
-	if c.pending == 0 && !c.closing {
+	idle := c.pending == 0 && !c.closing && !c.reading
+	if idle {
 		c.setReadDeadline(time.Now().Add(c.server.config.Limits().IdleTimeout))
 	}
 	closing := c.closing
 	c.mu.Unlock()
+	if idle {
+		c.server.markIdle(c)
+	}
 	c.server.inFlight.Add(-1)
 	c.pipeline <- struct{}{}
 	close(done)
@@ -217,12 +228,22 @@
 func (c *conn) closeIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.pending == 0 {
+	if c.pending == 0 && !c.reading {
 		c.closing = true
 		c.setReadDeadline(time.Now())
 	}
 }
 
+// beginReading records that the first byte of a request was read. It reports false if the connection is closing.
+func (c *conn) beginReading() bool {
+	c.mu.Lock()
+	c.reading = !c.closing
+	reading := c.reading
+	c.mu.Unlock()
+	c.server.markBusy(c)
+	return reading
+}
+
 func isTemporary(err error) bool {
 	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ECONNABORTED)
 }
--- a/carrier/read.go
+++ b/carrier/read.go
@@ -26,6 +26,9 @@
 		}
 		return nil, nil
 	}
+	if !c.beginReading() {
+		return nil, nil
+	}
 	received := timer.Now()
 	c.setReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	h, err := http.ReadRequest(c.reader)
--- a/carrier/server.go
+++ b/carrier/server.go
@@ -1,6 +1,7 @@
 package carrier
 
 import (
+	"container/list"
 	"context"
 	"net"
 	"sync"
@@ -32,7 +33,8 @@
 	// AllowPipelining reports whether a request may be handled before earlier requests of its connection are answered.
 	// Nil means never.
 	AllowPipelining func(*Request) bool
-	// MaxConnections bounds the open connections; further ones wait to be accepted. Zero means unlimited.
+	// MaxConnections bounds the open connections; further ones wait to be accepted. Before that, idle connections are
+	// closed to make room. Zero means unlimited.
 	MaxConnections int
 }
 
@@ -44,6 +46,8 @@
 	connSlots          chan struct{}
 	mu                 sync.Mutex
 	conns              map[*conn]struct{}
+	// idle holds the connections that wait for their next request, the longest idle one first.
+	idle list.List
 }
 
 // NewServer returns a Server. Call Serve for each listener.
@@ -61,9 +65,7 @@
 // Serve accepts connections until the listener is closed, and returns the listener's error.
 func (s *Server) Serve(l net.Listener) error {
 	for {
-		if s.connSlots != nil {
-			s.connSlots <- struct{}{}
-		}
+		s.reserve()
 		nc, err := l.Accept()
 		if err != nil {
 			s.release()
@@ -77,6 +79,55 @@
 	}
 }
 
+// fullShare is the share of MaxConnections from which on each new connection closes the longest idle one. The rest is
+// for connections that take time to close.
+const fullShare = 0.9
+
+// reserve takes a place for a new connection.
+func (s *Server) reserve() {
+	if s.connSlots == nil {
+		return
+	}
+	if float64(len(s.connSlots)) >= fullShare*float64(cap(s.connSlots)) {
+		s.closeLongestIdle()
+	}
+	s.connSlots <- struct{}{}
+}
+
+// closeLongestIdle closes the connection that has been idle for longest, if there is one. Callers keep connections open
+// that they may not use again, and a caller that waits for a place isn't read.
+func (s *Server) closeLongestIdle() {
+	s.mu.Lock()
+	var longest *conn
+	if e := s.idle.Front(); e != nil {
+		longest = s.idle.Remove(e).(*conn)
+		longest.idleElement = nil
+	}
+	s.mu.Unlock()
+	if longest != nil {
+		longest.closeIfIdle()
+	}
+}
+
+// markIdle and markBusy record that a connection waits for its next request, and that it doesn't any more.
+func (s *Server) markIdle(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.idleElement != nil {
+		s.idle.Remove(c.idleElement)
+	}
+	c.idleElement = s.idle.PushBack(c)
+}
+
+func (s *Server) markBusy(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.idleElement != nil {
+		s.idle.Remove(c.idleElement)
+		c.idleElement = nil
+	}
+}
+
 func (s *Server) release() {
 	if s.connSlots != nil {
 		<-s.connSlots
@@ -89,6 +140,7 @@
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
 	c.serve()
+	s.markBusy(c)
 	s.mu.Lock()
 	delete(s.conns, c)
 	s.mu.Unlock()
