disruptor: drop what a cut link holds when its sender has gone before the cut ends

The proxy accepts connections while its link is cut and forwards them afterwards, also when their client has reset them: Linux hands out the bytes before the reset. Over a link that is cut such a connection is never established. Change: after the cut the proxy drops a connection whose client has closed it.

--- a/carrier/departure_test.go
+++ b/carrier/departure_test.go
@@ -180,20 +180,26 @@
 
 // TestHeldUpRequest guards against a request that a cut link holds up and delivers after its caller has left (GONE).
 func TestHeldUpRequest(t *testing.T) {
-	backend, requests := startEchoServer(t)
-	link, err := disruptor.New(disruptor.Config{Listen: netip.MustParseAddrPort("127.0.0.1:0"), Upstream: backend})
-	require.NoError(t, err)
-	defer func() { require.NoError(t, link.Close()) }()
-	pool := newPool()
-	_, err = pool.Exchange(t.Context(), link.Addr(), newRequest("a"))
-	require.NoError(t, err)
-	link.Blackhole(true)
-	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
-	defer cancel()
-	_, err = pool.Exchange(ctx, link.Addr(), newRequest("b"))
-	require.ErrorIs(t, err, context.DeadlineExceeded)
-	time.Sleep(100 * time.Millisecond)
-	link.Blackhole(false)
-	time.Sleep(300 * time.Millisecond)
-	require.EqualValues(t, 1, requests.Load())
+	for _, newConn := range []bool{false, true} {
+		t.Run(fmt.Sprintf("new connection %t", newConn), func(t *testing.T) {
+			backend, requests := startEchoServer(t)
+			link, err := disruptor.New(disruptor.Config{Listen: netip.MustParseAddrPort("127.0.0.1:0"), Upstream: backend})
+			require.NoError(t, err)
+			defer func() { require.NoError(t, link.Close()) }()
+			pool := newPool()
+			_, err = pool.Exchange(t.Context(), link.Addr(), newRequest("a"))
+			require.NoError(t, err)
+			link.Blackhole(true)
+			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+			defer cancel()
+			q := newRequest("b")
+			q.NewConn = newConn
+			_, err = pool.Exchange(ctx, link.Addr(), q)
+			require.ErrorIs(t, err, context.DeadlineExceeded)
+			time.Sleep(100 * time.Millisecond)
+			link.Blackhole(false)
+			time.Sleep(300 * time.Millisecond)
+			require.EqualValues(t, 1, requests.Load())
+		})
+	}
 }
--- a/disruptor/tcp.go
+++ b/disruptor/tcp.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"hibiscusline/watcher"
 )
 
 // maxChunkBytes and maxQueuedChunks limit the data buffered for one direction of a connection to 4 MiB.
@@ -68,9 +70,10 @@
 }
 
 // connect dials the upstream server, after waiting while the upstream direction is cut. It reports false if the dial
-// fails or the pair was reset.
+// fails, the pair was reset, or the client has closed its connection meanwhile: over a link that is cut, that connection
+// would never have been established.
 func (p *Proxy) connect(pair *connPair) bool {
-	if _, open := p.waitWhileCut(pair.ctx, Upstream); !open {
+	if _, open := p.waitWhileCut(pair.ctx, Upstream); !open || watcher.Closed(pair.client) {
 		return false
 	}
 	dialer := net.Dialer{Control: setResetOnClose}
