--- a/carrier/pool.go
+++ b/carrier/pool.go
@@ -101,8 +101,8 @@
 }
 
 // Exchange sends a request once and returns the response. If ctx ends first, it resets the connection, which tells the
-// other end to stop and drops what hasn't arrived yet. A request whose sender has left, as package watcher tells, isn't sent. Errors are of type
-// *ExchangeError.
+// other end to stop and drops what hasn't arrived yet. A request whose sender has left, as package watcher tells, isn't
+// sent. Errors are of type *ExchangeError.
 func (p *Pool) Exchange(ctx context.Context, to netip.AddrPort, q *Request) (*Response, error) {
 	open := p.getConn
 	if q.NewConn {
--- a/dispatcher/queue.go
+++ b/dispatcher/queue.go
@@ -10,8 +10,7 @@
 	"hibiscusline/timer"
 )
 
-// admissionQueue makes an admitter.Queue usable by concurrent requests: it blocks them until the admitter starts or refuses
-// them.
+// admissionQueue makes an admitter.Queue usable by concurrent requests: it blocks them until they are started or refused.
 type admissionQueue struct {
 	mu    sync.Mutex
 	queue *admitter.Queue
