--- a/executor/refusal_test.go
+++ b/executor/refusal_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -15,12 +16,21 @@
 	"github.com/stretchr/testify/require"
 
 	"hibiscusline/executor"
+	"hibiscusline/platform/simulator"
 )
 
-const (
-	refusalText  = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n"
-	responseText = "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\nContent-Length: 4\r\n"
-)
+// writeResponse writes a response with a header and a body.
+func writeResponse(c net.Conn, status int, h http.Header, body string) {
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	fmt.Fprintf(c, "HTTP/1.1 %d x\r\n", status)
+	_ = h.Write(c) // The executor has closed the connection then.
+	fmt.Fprintf(c, "\r\n%s", body)
+}
+
+// refuse writes a refusal that echoes ids.
+func refuse(c net.Conn, ids ...string) {
+	writeResponse(c, http.StatusServiceUnavailable, simulator.RefusalHeader(ids...), "")
+}
 
 // newFaultyExecutor returns an executor whose server handles each connection with a script. The script gets the
 // connection, the id of a request and the number of requests that it has read on the connection before, and reports
@@ -44,7 +54,7 @@
 				r := bufio.NewReader(c)
 				for i := 0; ; i++ {
 					q, err := http.ReadRequest(r)
-					if err != nil || !script(c, q.Header.Get("Attempt-Id"), i, &running) {
+					if err != nil || !script(c, simulator.RequestID(q.Header), i, &running) {
 						return
 					}
 				}
@@ -62,19 +72,15 @@
 // TestRepeatedRefusal guards against a refusal that a faulty server wrote for an earlier request, that arrives once more
 // on the kept connection, and that is taken for the refusal of a request that the server runs (REFUSED, TWICE).
 func TestRepeatedRefusal(t *testing.T) {
-	refuse := func(c net.Conn, id string) { fmt.Fprintf(c, "%sAttempt-Id: %s\r\n\r\n", refusalText, id) }
-	respond := func(c net.Conn, id string) { fmt.Fprintf(c, "%sAttempt-Id: %s\r\n\r\ndone", responseText, id) }
 	for name, tc := range map[string]struct {
 		// secondID is the id of the second request, which the server runs.
 		secondID string
 		repeat   func(c net.Conn, first string)
 	}{
-		"other id": {"b", refuse},
-		"no id":    {"b", func(c net.Conn, _ string) { fmt.Fprint(c, refusalText+"\r\n") }},
-		"two ids": {"b", func(c net.Conn, id string) {
-			fmt.Fprintf(c, "%sAttempt-Id: %s\r\nAttempt-Id: b\r\n\r\n", refusalText, id)
-		}},
-		"same request again": {"a", refuse},
+		"other id":           {"b", func(c net.Conn, first string) { refuse(c, first) }},
+		"no id":              {"b", func(c net.Conn, _ string) { refuse(c) }},
+		"two ids":            {"b", func(c net.Conn, first string) { refuse(c, first, "b") }},
+		"same request again": {"a", func(c net.Conn, first string) { refuse(c, first) }},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g, running := newFaultyExecutor(t, func(c net.Conn, id string, before int, running *atomic.Int32) bool {
@@ -88,7 +94,7 @@
 					tc.repeat(c, "a")
 					time.Sleep(50 * time.Millisecond)
 				}
-				respond(c, id)
+				writeResponse(c, http.StatusOK, simulator.ResponseHeader(id), "done")
 				return true
 			})
 			require.Equal(t, executor.ServerRefused, g.Run(context.Background(), newJob("a", 20*time.Second)).Reason)
@@ -106,7 +112,7 @@
 func TestUnprovenRefusal(t *testing.T) {
 	for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
 		g, _ := newFaultyExecutor(t, func(c net.Conn, id string, _ int, _ *atomic.Int32) bool {
-			fmt.Fprintf(c, "HTTP/1.1 %d x\r\nResponse-Signature: s\r\nContent-Length: 0\r\nAttempt-Id: %s\r\n\r\n", status, id)
+			writeResponse(c, status, simulator.ResponseHeader(id), "")
 			return true
 		})
 		r := g.Run(context.Background(), newJob("a", 20*time.Second))
