launcher, carrier: let the last close arrive, and the process stop, before requests are read

Reading: SIGSTOP takes effect a moment after it is sent, so the first request was read before its caller left; it ran to its end while the process stood still. And a busy kernel delivers over loopback a moment later, so the last close had not arrived when the process went on. Neither is shown by a trace of packets. Change: the test waits until the process has stopped, and 100 ms between the last close and the read; TestSentAfterCallerLeft waits as long. What must hold, that no request runs whose close has arrived before it is read, is demanded as before.

--- a/carrier/departure_test.go
+++ b/carrier/departure_test.go
@@ -72,6 +72,8 @@
 				require.NoError(t, err)
 				require.NoError(t, c.Close())
 			}
+			// On a busy machine the last close may take a moment to arrive.
+			time.Sleep(100 * time.Millisecond)
 			s := carrier.NewServer(carrier.ServerConfig{
 				Limits: testLimits, AllowPipelining: func(*carrier.Request) bool { return true },
 				Handle: func(ctx context.Context, q *carrier.Request) *carrier.Response {
--- a/launcher/departed_test.go
+++ b/launcher/departed_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -131,6 +132,12 @@
 	for i, n := range b.Nodes[:2] {
 		id := fmt.Sprintf("unread-%d", i)
 		require.NoError(t, n.Freeze())
+		// Requests that are read before the process has stopped are read in time.
+		require.Eventually(t, func() bool {
+			status, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", n.PID()))
+			return err == nil && strings.Contains(string(status), ") T ")
+		}, 10*time.Second, time.Millisecond)
+		time.Sleep(20 * time.Millisecond)
 		for j := range callers {
 			c := b.dial(n)
 			body := ""
@@ -140,6 +147,8 @@
 			b.write(c, fmt.Sprintf("%s-%d", id, j), body)
 			require.NoError(t, c.Close())
 		}
+		// On a busy machine the last close may take a moment to arrive.
+		time.Sleep(100 * time.Millisecond)
 		require.NoError(t, n.Thaw())
 		stays, _ := b.order(n)
 		require.Equal(t, "answered", stays.Header.Get("Hibiscus-Outcome"), "a caller that stays is served")
