daemon: complete the handshakes under way before a stop closes the listener

Callers saw "connection reset by peer" on new connections while a process stopped gracefully.

Cause: the drain shortened the listener's queue to one place and filled it, so that no connection could be established between the last accept and the close. A full queue also makes the kernel drop the last segment of handshakes that are under way. Their clients count them as open and send requests; the close resets them.

Change: a socket filter drops first segments (SYN) only, accepts go on until none has come for 50 ms, and a last look at the queue covers a process that calls Accept after the deadline. Multipath TCP is off for these listeners, as its sockets take no filter.

--- a/daemon/accept.go
+++ b/daemon/accept.go
@@ -1,39 +1,53 @@
 package daemon
 
 import (
+	"context"
+	"errors"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
 )
 
-// drainingListener accepts all connections that the kernel has established before it closes. Closing a listener resets
-// the connections in its backlog, and the requests that clients have already sent on them are lost.
+// drainingListener accepts all connections that clients have opened before it closes. Closing a listener resets the
+// connections in its backlog and those whose handshake isn't complete, and the requests that clients have already sent on
+// them are lost.
 type drainingListener struct {
 	*net.TCPListener
 	draining atomic.Bool
-	closed   chan struct{}
-	backlog  []net.Conn
+	// closed is closed when the listener has closed after Drain.
+	closed    chan struct{}
+	closeOnce sync.Once
 }
 
 func newDrainingListener(l net.Listener) *drainingListener {
 	return &drainingListener{TCPListener: l.(*net.TCPListener), closed: make(chan struct{})}
 }
 
-// Drain closes the listener. It returns when Accept has returned all pending connections, or after one second.
+const (
+	// handshakeTime is the time without a new connection after which no handshake is taken to be under way. A client
+	// counts a connection as open one network delay before the kernel here does.
+	handshakeTime = 50 * time.Millisecond
+	// maxDrainTime bounds the wait of Drain. Accept isn't called while the connection limit is reached.
+	maxDrainTime = time.Second
+)
+
+// Drain rejects new connections, and closes the listener when Accept has returned those that clients have opened before,
+// or after maxDrainTime.
 func (l *drainingListener) Drain() {
+	// If the filter can't be set, connections that are opened during the drain are accepted, or reset by the close.
+	_ = l.dropHandshakes()
 	if l.draining.Swap(true) {
 		return
 	}
-	// The deadline unblocks Accept. If it can't be set, the next connection does.
-	_ = l.SetDeadline(time.Now())
-	// Accept isn't called while the connection limit is reached, so the wait is bounded.
-	const maxWait = time.Second
+	_ = l.SetDeadline(time.Now().Add(handshakeTime)) // If this fails, maxDrainTime ends the wait.
 	select {
 	case <-l.closed:
-	case <-time.After(maxWait):
+	case <-time.After(maxDrainTime):
+		l.closeDrained()
 	}
 }
 
@@ -47,83 +61,74 @@
 
 // Accept returns the next connection, or net.ErrClosed after Drain when no connection is left.
 func (l *drainingListener) Accept() (net.Conn, error) {
-	if !l.draining.Load() {
+	for {
+		if l.draining.Load() {
+			_ = l.SetDeadline(time.Now().Add(handshakeTime)) // It fails only on a closed listener, which Accept reports.
+		}
 		c, err := l.TCPListener.Accept()
-		if err == nil || !l.draining.Load() {
+		switch {
+		case !errors.Is(err, os.ErrDeadlineExceeded):
 			return c, err
+		case !l.hasBacklog():
+			l.closeDrained()
+			return nil, net.ErrClosed
 		}
 	}
-	if l.backlog == nil {
-		l.backlog = append(l.drainBacklog(), nil)
-	}
-	if c := l.backlog[0]; c != nil {
-		l.backlog = l.backlog[1:]
-		return c, nil
-	}
-	select {
-	case <-l.closed:
-	default:
-		close(l.closed)
-	}
-	return nil, net.ErrClosed
 }
 
-// drainBacklog accepts the pending connections and closes the listener.
-//
-// A connection established between the last accept and the close would be reset. To prevent that, the backlog is
-// reduced to one place, which a connection to itself fills before the close. The kernel then ignores further connection
-// attempts; their clients retry and are refused.
-func (l *drainingListener) drainBacklog() (waiting []net.Conn) {
+// hasBacklog reports whether a connection waits to be accepted. Accept doesn't look for one after its deadline, which a
+// process that is short of CPU time may call it after.
+func (l *drainingListener) hasBacklog() bool {
 	raw, err := l.SyscallConn()
 	if err != nil {
-		return nil
+		return false
 	}
-	var sockets []int
-	var placeholder net.Conn
-	// The callback returns no error: it ends when no connection is pending.
-	_ = raw.Control(func(fd uintptr) {
-		// If the backlog can't be reduced, the listener is closed as soon as no connection is pending.
-		shortened := unix.Listen(int(fd), 0) == nil
-		for range fillAttempts {
-			sockets = append(sockets, acceptPending(int(fd))...)
-			if !shortened {
-				return
-			}
-			if placeholder, err = net.DialTimeout("tcp", l.Addr().String(), fillTimeout); err == nil {
-				return
-			}
-		}
+	waiting := false
+	err = raw.Control(func(fd uintptr) {
+		list := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(list, 0)
+		waiting = err == nil && n > 0
 	})
-	// There is no recovery from a failed close.
-	_ = l.TCPListener.Close()
-	if placeholder != nil {
-		// No data was sent on the connection.
-		_ = placeholder.Close()
-	}
-	for _, socket := range sockets {
-		file := os.NewFile(uintptr(socket), "caller")
-		if c, err := net.FileConn(file); err == nil {
-			waiting = append(waiting, c)
-		}
-		// net.FileConn has duplicated the descriptor.
-		_ = file.Close()
-	}
-	return waiting
+	return err == nil && waiting
 }
 
-const (
-	// fillAttempts bounds the attempts to fill the backlog; an attempt fails only if a client took the place first.
-	fillAttempts = 20
-	fillTimeout  = 20 * time.Millisecond
-)
+func (l *drainingListener) closeDrained() {
+	l.closeOnce.Do(func() {
+		_ = l.TCPListener.Close() // There is no recovery from a failed close.
+		close(l.closed)
+	})
+}
 
-// acceptPending accepts all pending connections of a listening socket.
-func acceptPending(fd int) (sockets []int) {
-	for {
-		socket, _, err := unix.Accept4(fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
-		if err != nil {
-			return sockets
-		}
-		sockets = append(sockets, socket)
+// dropHandshakes makes the kernel ignore new connection attempts, and go on with the handshakes that have begun. Clients
+// repeat an ignored attempt and are refused once the listener is closed. Connections inherit the filter, which passes all
+// their segments.
+func (l *drainingListener) dropHandshakes() error {
+	const (
+		flagsOffset = 13 // Offset of the flags in a TCP header, where the kernel starts the filter.
+		synFlag     = 0x02
+		passAll     = 0xffffffff
+	)
+	filter := []unix.SockFilter{
+		{Code: unix.BPF_LD | unix.BPF_B | unix.BPF_ABS, K: flagsOffset},
+		{Code: unix.BPF_JMP | unix.BPF_JSET | unix.BPF_K, K: synFlag, Jt: 0, Jf: 1},
+		{Code: unix.BPF_RET | unix.BPF_K, K: 0},
+		{Code: unix.BPF_RET | unix.BPF_K, K: passAll},
+	}
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return err
 	}
+	var setErr error
+	err = raw.Control(func(fd uintptr) {
+		program := unix.SockFprog{Len: uint16(len(filter)), Filter: &filter[0]}
+		setErr = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &program)
+	})
+	return errors.Join(err, setErr)
+}
+
+// listenTCP listens without Multipath TCP, whose sockets support no filter.
+func listenTCP(address string) (net.Listener, error) {
+	config := net.ListenConfig{}
+	config.SetMultipathTCP(false)
+	return config.Listen(context.Background(), "tcp", address)
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -213,7 +213,7 @@
 		{s.local, d.config.Settings.Local, 0},
 		{s.admin, d.config.Settings.Admin, 0},
 	} {
-		listener, err := net.Listen("tcp", l.address.String())
+		listener, err := listenTCP(l.address.String())
 		if err != nil {
 			return nil, errors.Wrap(err, "listen")
 		}
