carrier: connections that were never used make room for new ones

Callers waited in the listen queue, unread, when connections that had not sent a byte filled the table: only connections between two requests counted as idle.

A new connection counts as idle once it has been silent for a second, and a caller that waits for a place looks again every 100 ms, since connections may become idle meanwhile.

TestSilentConnectionsMakeRoom: timed out after 10 s before, passes now.

--- a/carrier/carrier_test.go
+++ b/carrier/carrier_test.go
@@ -233,6 +233,41 @@
 	}
 }
 
+// TestSilentConnectionsMakeRoom guards against callers that aren't read for seconds because all places are taken by
+// connections that were opened and never used, and against new connections that are closed before their request can arrive.
+func TestSilentConnectionsMakeRoom(t *testing.T) {
+	const places = 20
+	_, address := startServer(t, carrier.ServerConfig{
+		MaxConnections: places,
+		Limits: func() carrier.Limits {
+			l := testLimits()
+			l.IdleTimeout = time.Minute
+			return l
+		},
+		Handle: echo,
+	})
+	request := func(c net.Conn) {
+		t.Helper()
+		require.NoError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
+		_, err := fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		require.NoError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(c), nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, response.StatusCode)
+	}
+	for range places {
+		dial(t, address)
+	}
+	late := dial(t, address)
+	time.Sleep(300 * time.Millisecond)
+	request(late)
+	for range places {
+		c := dial(t, address)
+		request(c)
+		require.NoError(t, c.Close())
+	}
+}
+
 // startScriptedServer starts a server that handles each connection with a script. It returns its address and a counter
 // for the requests that the script reads.
 func startScriptedServer(
--- a/carrier/conn.go
+++ b/carrier/conn.go
@@ -47,8 +47,10 @@
 	// pipeline holds a value for each further request that may be unanswered.
 	pipeline chan struct{}
 
-	// idleElement is the connection's element in the server's list of idle ones. The server's mutex guards it.
+	// idleElement is the connection's element in the server's list of idle ones, and idleFrom the time from which on it
+	// counts as idle. The server's mutex guards both.
 	idleElement *list.Element
+	idleFrom    time.Duration
 
 	mu      sync.Mutex
 	pending int
@@ -190,7 +192,7 @@
 	closing := c.closing
 	c.mu.Unlock()
 	if idle {
-		c.server.markIdle(c)
+		c.server.markIdle(c, timer.Now())
 	}
 	c.server.inFlight.Add(-1)
 	c.pipeline <- struct{}{}
--- a/carrier/read.go
+++ b/carrier/read.go
@@ -16,10 +16,14 @@
 	limits := c.server.config.Limits()
 	c.limited.remaining, c.limited.limitReached = int64(limits.HeaderBytes)+readBuffer, false
 	c.mu.Lock()
+	closed := c.pending == 0 && c.closing
 	if c.pending == 0 {
 		c.setReadDeadline(time.Now().Add(limits.IdleTimeout))
 	}
 	c.mu.Unlock()
+	if closed {
+		return nil, nil
+	}
 	if _, err := c.reader.Peek(1); err != nil {
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			c.cancel()
--- a/carrier/server.go
+++ b/carrier/server.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"hibiscusline/timer"
 )
 
 // Limits bounds the requests of a caller.
@@ -46,7 +48,7 @@
 	connSlots          chan struct{}
 	mu                 sync.Mutex
 	conns              map[*conn]struct{}
-	// idle holds the connections that wait for their next request, the longest idle one first.
+	// idle holds the connections that wait for a request, the longest waiting one first.
 	idle list.List
 }
 
@@ -79,9 +81,15 @@
 	}
 }
 
-// fullShare is the share of MaxConnections from which on each new connection closes the longest idle one. The rest is
-// for connections that take time to close.
-const fullShare = 0.9
+const (
+	// fullShare is the share of MaxConnections from which on each new connection closes the longest idle one. The rest is
+	// for connections that take time to close.
+	fullShare = 0.9
+	// firstRequestTime is how long a new connection may stay silent before it counts as idle.
+	firstRequestTime = time.Second
+	// roomCheckInterval is how often a new connection that waits for a place looks for an idle one to close.
+	roomCheckInterval = 100 * time.Millisecond
+)
 
 // reserve takes a place for a new connection.
 func (s *Server) reserve() {
@@ -91,32 +99,47 @@
 	if float64(len(s.connSlots)) >= fullShare*float64(cap(s.connSlots)) {
 		s.closeLongestIdle()
 	}
-	s.connSlots <- struct{}{}
+	for {
+		select {
+		case s.connSlots <- struct{}{}:
+			return
+		case <-time.After(roomCheckInterval):
+			s.closeLongestIdle()
+		}
+	}
 }
 
 // closeLongestIdle closes the connection that has been idle for longest, if there is one. Callers keep connections open
 // that they may not use again, and a caller that waits for a place isn't read.
 func (s *Server) closeLongestIdle() {
-	s.mu.Lock()
-	var longest *conn
-	if e := s.idle.Front(); e != nil {
-		longest = s.idle.Remove(e).(*conn)
-		longest.idleElement = nil
+	if c := s.takeLongestIdle(); c != nil {
+		c.closeIfIdle()
 	}
-	s.mu.Unlock()
-	if longest != nil {
-		longest.closeIfIdle()
+}
+
+func (s *Server) takeLongestIdle() *conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := timer.Now()
+	for e := s.idle.Front(); e != nil; e = e.Next() {
+		if c := e.Value.(*conn); c.idleFrom <= now {
+			s.idle.Remove(e)
+			c.idleElement = nil
+			return c
+		}
 	}
+	return nil
 }
 
-// markIdle and markBusy record that a connection waits for its next request, and that it doesn't any more.
-func (s *Server) markIdle(c *conn) {
+// markIdle records that a connection waits for a request and counts as idle from a time on, and markBusy that it doesn't
+// wait any more.
+func (s *Server) markIdle(c *conn, from time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if c.idleElement != nil {
 		s.idle.Remove(c.idleElement)
 	}
-	c.idleElement = s.idle.PushBack(c)
+	c.idleElement, c.idleFrom = s.idle.PushBack(c), from
 }
 
 func (s *Server) markBusy(c *conn) {
@@ -139,6 +162,7 @@
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
+	s.markIdle(c, timer.Now()+firstRequestTime)
 	c.serve()
 	s.markBusy(c)
 	s.mu.Lock()
