daemon: idle connections make room for new ones

Same cause as in carrier, on the product's entry: with max_connections open, all of them idle, further callers waited in the listen queue for up to two minutes, the idle timeout of net/http. Their requests were read after they had left (GONE).

From nine tenths of the limit on, each new connection closes the one that has waited longest for a request; new connections count after a second. The close happens under the lock of the state hook, so a request that arrives at that moment becomes active on a closed connection and isn't sent on.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -224,7 +224,7 @@
 			listener = s.callerListener
 		}
 		d.tasks.Go(func() {
-			err := l.server.Serve(limitListener(listener, l.limit))
+			err := l.server.Serve(limitListener(listener, l.limit, s.callerConnections.closeLongestIdle))
 			if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 				d.log("state", "listener failed", "address", l.address, "err", err)
 			}
