granter, sidecar: a waiting release asks again whether its slices are free

A process had slices to release that its server no longer held; the append waited for the store. Meanwhile a plan cleared the targets, the slices were granted to the server again, and another plan set the same targets under the same tokens. The release, built anew from the newest table, matched and gave them away.

The granter remembers which slices the latest heartbeat found free and forgets one when it grants it. A release asks for that at each attempt, and only for the table that the granter grants from, so a later grant needs a later table, which makes the conditional append fail.

--- a/assigner/property_test.go
+++ b/assigner/property_test.go
@@ -52,6 +52,14 @@
 	records   map[string]published
 	// inFlight is a member record that has been sent and is not stored yet.
 	inFlight *published
+	// release is a release of slices that waits for the store, or nil.
+	release *waitingRelease
+}
+
+// waitingRelease is a release that was found by a heartbeat and is built anew at each attempt to store it.
+type waitingRelease struct {
+	owner assigner.Owner
+	list  []assigner.Released
 }
 
 // published is a member record.
@@ -102,7 +110,7 @@
 }
 
 func (w *system) startProcess(p *process) {
-	p.alive, p.ended, p.table, p.end, p.records = true, false, nil, 0, nil
+	p.alive, p.ended, p.table, p.end, p.records, p.release = true, false, nil, 0, nil, nil
 	p.epoch++
 	p.suspectedAt = map[assigner.Suspicion]time.Duration{}
 	p.granter = granter.New(granter.Config{
@@ -192,10 +200,12 @@
 	if !current {
 		return
 	}
-	if len(a.Released) > 0 && !p.partitioned && p.table == w.stored {
-		owner := assigner.Owner{Member: p.name, Incarnation: s.incarnation}
-		if next := assigner.Release(w.stored, owner, a.Released); next != nil {
-			w.change(next)
+	if len(a.Released) > 0 && p.release == nil {
+		p.release = &waitingRelease{
+			owner: assigner.Owner{Member: p.name, Incarnation: s.incarnation}, list: a.Released,
+		}
+		if w.chance(0.5) {
+			w.release(p)
 		}
 	}
 	if !a.Renews || w.chance(0.1) {
@@ -204,6 +214,19 @@
 	w.applyResponse(s, a)
 }
 
+// release attempts to store the waiting release of a process.
+func (w *system) release(p *process) {
+	if p.release == nil || !p.alive || p.partitioned {
+		return
+	}
+	w.read(p, 0)
+	list := p.granter.StillReleased(w.stored, p.release.list)
+	if next := assigner.Release(w.stored, p.release.owner, list); next != nil {
+		w.change(next)
+	}
+	p.release = nil
+}
+
 // applyResponse applies a heartbeat response as a backend server does.
 func (w *system) applyResponse(s *server, a granter.Response) {
 	granted := map[int]uint64{}
@@ -319,6 +342,9 @@
 	if w.chance(0.4) {
 		w.deliver(p)
 	}
+	if w.chance(0.2) {
+		w.release(p)
+	}
 	if w.chance(0.4) {
 		w.read(p, 0)
 		w.plan(p)
--- a/granter/granter.go
+++ b/granter/granter.go
@@ -35,13 +35,15 @@
 	resumed bool
 	// handovers holds, by slice, the state that the server left for the next owner.
 	handovers map[int]string
+	// released holds the slices that the latest heartbeat reported as released and that were not granted since.
+	released map[int]bool
 }
 
 // New returns a Granter without grants.
 func New(c Config) *Granter {
 	return &Granter{
 		config: c, lapseAt: c.Started + maxRealDuration(c.MaxHold),
-		omittedSince: map[int]uint64{}, handovers: map[int]string{},
+		omittedSince: map[int]uint64{}, handovers: map[int]string{}, released: map[int]bool{},
 	}
 }
 
@@ -115,6 +117,7 @@
 	clear(g.grantedTokens)
 	clear(g.omittedSince)
 	clear(g.handovers)
+	clear(g.released)
 	g.grantsEnd = 0
 }
 
@@ -177,12 +180,14 @@
 // response that omitted the slice does not list it, or all grants have expired.
 func (g *Granter) releasedSlices(now time.Duration, h Heartbeat) []assigner.Released {
 	held := g.heldSlices(h.Holds)
+	clear(g.released)
 	var list []assigner.Released
 	for i := range g.table.Slices {
 		since, omitted := g.omittedSince[i]
 		free := omitted && h.Sequence > since && !held[i] || now > g.lapseAt
 		if _, moving := g.table.TargetOf(i); moving && g.ownsSlice(i) && free {
 			list = append(list, assigner.Released{Slice: i, Token: g.table.Slices[i].Token, Handover: g.handovers[i]})
+			g.released[i] = true
 		}
 		if omitted && !held[i] && !g.ownsSlice(i) {
 			delete(g.omittedSince, i)
@@ -192,6 +197,22 @@
 	return list
 }
 
+// StillReleased returns those of the released slices of an earlier response that the server may not hold again, for a
+// release that is built from a table. A target can be cleared and set again under the same token while a release waits,
+// and the slice is granted again in between. Without the newest table, the result is empty.
+func (g *Granter) StillReleased(t *assigner.Table, list []assigner.Released) []assigner.Released {
+	if t != g.table {
+		return nil
+	}
+	var still []assigner.Released
+	for _, r := range list {
+		if g.released[r.Slice] {
+			still = append(still, r)
+		}
+	}
+	return still
+}
+
 // respond grants the slices that the table assigns to the server and that have no target.
 func (g *Granter) respond(now time.Duration, h Heartbeat, released []assigner.Released) Response {
 	r := Response{Released: released}
@@ -244,6 +265,7 @@
 		r.Grants = append(r.Grants, Grant{Holding: Holding{First: first, Last: last, Token: token}, Handover: handover})
 	}
 	delete(g.omittedSince, slice)
+	delete(g.released, slice)
 	g.grantedTokens[slice] = token
 	return size
 }
--- a/granter/granter_test.go
+++ b/granter/granter_test.go
@@ -136,6 +136,36 @@
 	require.Equal(t, []assigner.Released{{Slice: 1, Token: 7, Handover: "text"}}, a.Released)
 }
 
+// TestWaitingReleaseAfterNewGrant guards against two holders of a key: a release waits for the store, its target is cleared,
+// the slice is granted again, and the same target is set under the same token before the release is stored. The soak with
+// seed 611 showed this failure.
+func TestWaitingReleaseAfterNewGrant(t *testing.T) {
+	moving := table()
+	moving.Slices[1].Target = 2
+	g := newGranter(moving)
+	first := granter.Holding{First: 0, Last: assigner.KeyCount/4 - 1, Token: 7}
+	_, _ = g.Heartbeat(start, newHeartbeat(1))
+	a, _ := g.Heartbeat(start+time.Second, newHeartbeat(2, first))
+	waiting := a.Released
+	require.Len(t, waiting, 1)
+	require.Equal(t, waiting, g.StillReleased(moving, waiting))
+	require.Empty(t, g.StillReleased(table(), waiting), "the table isn't the one that grants are made from")
+
+	cleared := table()
+	g.Observe(cleared, start+time.Second)
+	a, _ = g.Heartbeat(start+2*time.Second, newHeartbeat(3, first))
+	require.Equal(t, []granter.Grant{{Holding: ownRange}}, a.Grants)
+	movingAgain := table()
+	movingAgain.Slices[1].Target = 2
+	g.Observe(movingAgain, start+2*time.Second)
+	require.Empty(t, g.StillReleased(movingAgain, waiting), "the server holds the slice again")
+	_, _ = g.Heartbeat(start+3*time.Second, newHeartbeat(4, ownRange))
+	require.Empty(t, g.StillReleased(movingAgain, waiting), "the server has not confirmed that it left the slice out")
+	a, _ = g.Heartbeat(start+4*time.Second, newHeartbeat(5, first))
+	require.Equal(t, waiting, a.Released)
+	require.Equal(t, waiting, g.StillReleased(movingAgain, waiting))
+}
+
 // TestRevoked guards against grants to an incarnation that was declared ended, before the new member record is known to
 // be stored.
 func TestRevoked(t *testing.T) {
--- a/sidecar/publish.go
+++ b/sidecar/publish.go
@@ -216,9 +216,16 @@
 		if t == nil {
 			return nil
 		}
-		return assigner.Release(t, owner, list)
+		return assigner.Release(t, owner, a.stillReleased(t, list))
 	})
 }
 
+// stillReleased returns the slices that the server has not been granted again while the release waited for the store.
+func (a *Sidecar) stillReleased(t *assigner.Table, list []assigner.Released) []assigner.Released {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.granter.StillReleased(t, list)
+}
+
 // releaseTimeout bounds one attempt to transfer released slices.
 const releaseTimeout = 3 * time.Second
