launcher: wait for cycle-free guardians only where guardians fail

Such cycles can persist in a small fleet, so nothing bounds the wait. Only owners that are lost together with guardians depend on that: for the other six faults the owner's guardians stay up, so a cycle among them changes nothing. They now run with any owner that has two guardians, which also covers owners in a cycle; their checks are unchanged. The two faults in which guardians fail, and the tests in once_test.go, wait as before, and the entry names them.

--- a/launcher/once_test.go
+++ b/launcher/once_test.go
@@ -44,7 +44,7 @@
 	for name, fault := range faults {
 		t.Run(name, func(t *testing.T) {
 			tf := startTestFleet(t, 300*time.Millisecond, map[string]int{fenced: 5, unkeyed: 3})
-			key := tf.guardedKey(fenced)
+			key := tf.guardedKey(fenced, true)
 			owner := tf.owner(fenced, key)
 			callersCtx, cancelCallers := context.WithCancel(tf.ctx)
 			var callers sync.WaitGroup
@@ -80,7 +80,7 @@
 // intent: that guardian may be the only one that the owner's successor can query.
 func TestIntentAtEveryGuardian(t *testing.T) {
 	tf := startTestFleet(t, 300*time.Millisecond, map[string]int{fenced: 5, unkeyed: 3})
-	key := tf.guardedKey(fenced)
+	key := tf.guardedKey(fenced, true)
 	owner := tf.owner(fenced, key)
 	guardians := tf.guardians(owner)
 	require.Len(tf, guardians, 2)
--- a/launcher/owner_test.go
+++ b/launcher/owner_test.go
@@ -37,12 +37,18 @@
 	return len(unresolved) > 0
 }
 
-// guardedKey returns a key whose owner can fail together with its guardians without requiring an operator.
-func (tf *testFleet) guardedKey(service string) (key string) {
-	tf.await("an owner with two guardians and no guardian cycle", func() bool {
+// guardedKey returns a key whose owner has two guardians. If guardians fail as well, the owner can fail together with
+// them without requiring an operator.
+func (tf *testFleet) guardedKey(service string, guardiansFail bool) (key string) {
+	condition := "an owner with two guardians"
+	if guardiansFail {
+		condition += " and no guardian cycle"
+	}
+	tf.await(condition, func() bool {
 		for i := range 30 {
 			key = fmt.Sprintf("order-%d", i)
-			if n := tf.findOwner(service, key); n != nil && len(tf.guardians(n)) == 2 && !tf.inGuardianCycle(n) {
+			n := tf.findOwner(service, key)
+			if n != nil && len(tf.guardians(n)) == 2 && !(guardiansFail && tf.inGuardianCycle(n)) {
 				return true
 			}
 		}
@@ -65,37 +71,39 @@
 // TestOneOwner guards against two owners of a key, and against keys without an owner, for each way in which an owner
 // can fail, under load, and for servers that check grants and servers that don't.
 func TestOneOwner(t *testing.T) {
-	faults := map[string]struct{ begin, end func(tf *testFleet, n *Node) }{
-		"killed": {func(tf *testFleet, n *Node) { require.NoError(tf, n.Kill()) }, func(tf *testFleet, n *Node) { require.NoError(tf, n.Start()) }},
-		"frozen": {func(tf *testFleet, n *Node) { require.NoError(tf, n.Freeze()) }, func(tf *testFleet, n *Node) { require.NoError(tf, n.Thaw()) }},
-		"cut from peers": {
-			func(_ *testFleet, n *Node) { n.PartitionFromPeers(true, true) }, func(_ *testFleet, n *Node) { n.PartitionFromPeers(false, false) },
+	start := func(tf *testFleet, n *Node) { require.NoError(tf, n.Start()) }
+	reconnect := func(_ *testFleet, n *Node) { n.PartitionFromPeers(false, false) }
+	faults := map[string]struct {
+		begin, end    func(tf *testFleet, n *Node)
+		guardiansFail bool
+	}{
+		"killed": {begin: func(tf *testFleet, n *Node) { require.NoError(tf, n.Kill()) }, end: start},
+		"frozen": {
+			begin: func(tf *testFleet, n *Node) { require.NoError(tf, n.Freeze()) },
+			end:   func(tf *testFleet, n *Node) { require.NoError(tf, n.Thaw()) },
 		},
+		"cut from peers": {begin: func(_ *testFleet, n *Node) { n.PartitionFromPeers(true, true) }, end: reconnect},
 		"cut from peers and log": {
-			func(_ *testFleet, n *Node) { n.BlackholeLog(true); n.PartitionFromPeers(true, true) },
-			func(_ *testFleet, n *Node) { n.BlackholeLog(false); n.PartitionFromPeers(false, false) },
-		},
-		"cut one way": {
-			func(_ *testFleet, n *Node) { n.PartitionFromPeers(false, true) }, func(_ *testFleet, n *Node) { n.PartitionFromPeers(false, false) },
-		},
-		"cut the other way": {
-			func(_ *testFleet, n *Node) { n.PartitionFromPeers(true, false) }, func(_ *testFleet, n *Node) { n.PartitionFromPeers(false, false) },
+			begin: func(_ *testFleet, n *Node) { n.BlackholeLog(true); n.PartitionFromPeers(true, true) },
+			end:   func(_ *testFleet, n *Node) { n.BlackholeLog(false); n.PartitionFromPeers(false, false) },
 		},
+		"cut one way":       {begin: func(_ *testFleet, n *Node) { n.PartitionFromPeers(false, true) }, end: reconnect},
+		"cut the other way": {begin: func(_ *testFleet, n *Node) { n.PartitionFromPeers(true, false) }, end: reconnect},
 		"with its guardian": {
-			func(tf *testFleet, n *Node) {
+			begin: func(tf *testFleet, n *Node) {
 				g := tf.guardian(n)
 				require.NoError(tf, n.Kill())
 				require.NoError(tf, g.Kill())
 			},
-			func(tf *testFleet, n *Node) { require.NoError(tf, n.Start()) },
+			end: start, guardiansFail: true,
 		},
 		"with both guardians": {
-			func(tf *testFleet, n *Node) {
+			begin: func(tf *testFleet, n *Node) {
 				for _, g := range append(tf.guardians(n), n) {
 					require.NoError(tf, g.Kill())
 				}
 			},
-			func(tf *testFleet, n *Node) { require.NoError(tf, n.Start()) },
+			end: start, guardiansFail: true,
 		},
 	}
 	for name, fault := range faults {
@@ -103,7 +111,7 @@
 			t.Run(name+" "+service, func(t *testing.T) {
 				tf := startTestFleet(t, 30*time.Millisecond, map[string]int{service: 5, unkeyed: 3})
 				stop := tf.startLoad()
-				key := tf.guardedKey(service)
+				key := tf.guardedKey(service, fault.guardiansFail)
 				oldOwner := tf.owner(service, key)
 				fault.begin(tf, oldOwner)
 				tf.awaitAnswer(tf.otherNode("", oldOwner), service, key, oldOwner)
