operator: refuse answers of an admin endpoint that are longer than the limit

hibiscusctl cut answers at 256 MB and took the part for the whole, so an endpoint that writes without end showed a dump without its end. It now says that the answer is longer.

--- a/operator/admin.go
+++ b/operator/admin.go
@@ -14,7 +14,7 @@
 	"hibiscusline/reporter"
 )
 
-// maxResponseBytes is the size at which the response of an admin endpoint is truncated.
+// maxResponseBytes bounds the response of an admin endpoint.
 const maxResponseBytes = 256 << 20
 
 // errNoResponse means that there was no HTTP response at all, not even an error status.
@@ -44,7 +44,7 @@
 	if err != nil {
 		return nil, &Error{Code: Rejected, Err: fmt.Errorf("%w: %w", errNoResponse, err)}
 	}
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	data, err := readAll(response.Body, maxResponseBytes)
 	if closeErr := response.Body.Close(); err == nil {
 		err = closeErr
 	}
@@ -57,6 +57,15 @@
 	return data, nil
 }
 
+// readAll reads up to limit bytes, and returns an error if there are more.
+func readAll(r io.Reader, limit int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err == nil && int64(len(data)) > limit {
+		return nil, errors.Errorf("it is longer than %d bytes", limit)
+	}
+	return data, err
+}
+
 // refusalMessage returns the message in the body of an error response, or the start of a body in another format.
 func refusalMessage(data []byte) string {
 	var r reporter.ErrorResponse
