launcher: read whether a process is frozen under its lock

Running read the field without the lock that Freeze and Thaw write it under, a data race in tests that freeze processes.

--- a/launcher/node.go
+++ b/launcher/node.go
@@ -195,8 +195,11 @@
 
 // Running reports whether hibiscusd runs and is not frozen.
 func (n *Node) Running() bool {
-	p := n.currentProcess()
-	if p == nil || p.frozen {
+	n.mu.Lock()
+	p := n.process
+	frozen := p != nil && p.frozen
+	n.mu.Unlock()
+	if p == nil || frozen {
 		return false
 	}
 	select {
