--- a/carrier/carrier_test.go
+++ b/carrier/carrier_test.go
@@ -187,6 +187,13 @@
 	require.True(t, response.Close)
 }
 
+// patientLimits returns limits with an idle timeout that is longer than the tests.
+func patientLimits() carrier.Limits {
+	l := testLimits()
+	l.IdleTimeout = time.Minute
+	return l
+}
+
 // TestIdleConnectionsMakeRoom guards against callers that aren't read for seconds because all places are taken by idle
 // connections, which made them leave before their requests were read (GONE) and held them past their timeouts (CONFIG),
 // and against busy connections that are closed to make room.
@@ -195,11 +202,7 @@
 	finish := make(chan struct{})
 	_, address := startServer(t, carrier.ServerConfig{
 		MaxConnections: places,
-		Limits: func() carrier.Limits {
-			l := testLimits()
-			l.IdleTimeout = time.Minute
-			return l
-		},
+		Limits:         patientLimits,
 		Handle: func(ctx context.Context, q *carrier.Request) *carrier.Response {
 			if q.Target == "/busy" {
 				<-finish
@@ -239,12 +242,8 @@
 	const places = 20
 	_, address := startServer(t, carrier.ServerConfig{
 		MaxConnections: places,
-		Limits: func() carrier.Limits {
-			l := testLimits()
-			l.IdleTimeout = time.Minute
-			return l
-		},
-		Handle: echo,
+		Limits:         patientLimits,
+		Handle:         echo,
 	})
 	request := func(c net.Conn) {
 		t.Helper()
