carrier: test that new connections don't count as idle

TestSilentConnectionsMakeRoom claimed to cover this, but its new connection was still in the listen queue while it waited. A test of its own fills the table up to three places with busy connections, opens three silent ones and then uses them.

--- a/carrier/carrier_test.go
+++ b/carrier/carrier_test.go
@@ -237,36 +237,61 @@
 }
 
 // TestSilentConnectionsMakeRoom guards against callers that aren't read for seconds because all places are taken by
-// connections that were opened and never used, and against new connections that are closed before their request can arrive.
+// connections that were opened and never used.
 func TestSilentConnectionsMakeRoom(t *testing.T) {
 	const places = 20
-	_, address := startServer(t, carrier.ServerConfig{
-		MaxConnections: places,
-		Limits:         patientLimits,
-		Handle:         echo,
-	})
-	request := func(c net.Conn) {
-		t.Helper()
-		require.NoError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
-		_, err := fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
-		require.NoError(t, err)
-		response, err := http.ReadResponse(bufio.NewReader(c), nil)
-		require.NoError(t, err)
-		require.Equal(t, http.StatusOK, response.StatusCode)
-	}
+	_, address := startServer(t, carrier.ServerConfig{MaxConnections: places, Limits: patientLimits, Handle: echo})
 	for range places {
 		dial(t, address)
 	}
-	late := dial(t, address)
-	time.Sleep(300 * time.Millisecond)
-	request(late)
 	for range places {
 		c := dial(t, address)
-		request(c)
+		require.NoError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
+		requireAnswered(t, c, "/")
 		require.NoError(t, c.Close())
 	}
 }
 
+// TestNewConnectionsAreNotIdle guards against new connections that are closed to make room before their first request can
+// arrive.
+func TestNewConnectionsAreNotIdle(t *testing.T) {
+	const places = 20
+	finish := make(chan struct{})
+	defer close(finish)
+	_, address := startServer(t, carrier.ServerConfig{
+		MaxConnections: places, Limits: patientLimits,
+		Handle: func(ctx context.Context, q *carrier.Request) *carrier.Response {
+			if q.Target == "/busy" {
+				<-finish
+			}
+			return echo(ctx, q)
+		},
+	})
+	for range places - 3 {
+		_, err := fmt.Fprint(dial(t, address), "GET /busy HTTP/1.1\r\nHost: h\r\n\r\n")
+		require.NoError(t, err)
+	}
+	opened := time.Now()
+	// From the second of them on, each new connection looks for an idle one to close.
+	for _, c := range []net.Conn{dial(t, address), dial(t, address), dial(t, address)} {
+		_, err := fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		if err == nil {
+			_, err = http.ReadResponse(bufio.NewReader(c), nil)
+		}
+		// A connection that stays silent for a second counts as idle.
+		require.True(t, err == nil || time.Since(opened) > time.Second, "%v", err)
+	}
+}
+
+func requireAnswered(t *testing.T, c net.Conn, target string) {
+	t.Helper()
+	_, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", target)
+	require.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+}
+
 // startScriptedServer starts a server that handles each connection with a script. It returns its address and a counter
 // for the requests that the script reads.
 func startScriptedServer(
