--- a/launcher/badinput_test.go
+++ b/launcher/badinput_test.go
@@ -47,11 +47,7 @@
 	f, err := Start(ctx, Config{
 		Directory: directory, Services: []Service{service("order-desk", 2), service("pattern-archive", 1)},
 		Zones: []string{"a", "b", "c"}, Configuration: testConfiguration(t),
-		Command: func(settings string) *exec.Cmd {
-			c := exec.Command(os.Args[0])
-			c.Env = append(os.Environ(), daemonSettingsEnv+"="+settings)
-			return c
-		},
+		Command: testDaemon,
 	})
 	require.NoError(t, err)
 	t.Cleanup(func() {
--- a/launcher/fleet_test.go
+++ b/launcher/fleet_test.go
@@ -52,11 +52,7 @@
 		Directory: directory,
 		Services:  []Service{{Name: "stock-lookup", Servers: 3, Slots: 12, Connections: 130, Settings: emulator.ServerSettings{ServiceTime: validator.Duration(time.Millisecond)}}},
 		Zones:     []string{"a", "b", "c"}, Configuration: testConfiguration(t),
-		Command: func(settings string) *exec.Cmd {
-			c := exec.Command(os.Args[0])
-			c.Env = append(os.Environ(), daemonSettingsEnv+"="+settings)
-			return c
-		},
+		Command: testDaemon,
 	})
 	require.NoError(t, err)
 	defer func() { require.NoError(t, f.Stop()) }()
@@ -80,6 +76,13 @@
 	require.Len(t, report.Executions, 30)
 }
 
+// testDaemon returns a command that runs the test binary as hibiscusd.
+func testDaemon(settings string) *exec.Cmd {
+	c := exec.Command(os.Args[0])
+	c.Env = append(os.Environ(), daemonSettingsEnv+"="+settings)
+	return c
+}
+
 // showLogs prints the log lines of the processes when a test has failed.
 func showLogs(t *testing.T, directory string) {
 	if !t.Failed() {
--- a/launcher/load_test.go
+++ b/launcher/load_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"os"
-	"os/exec"
 	"testing"
 	"time"
 
@@ -29,11 +27,7 @@
 			Settings: emulator.ServerSettings{ServiceTime: validator.Duration(time.Millisecond)},
 		}},
 		Zones: []string{"a", "b", "c"}, Configuration: testConfiguration(t),
-		Command: func(settings string) *exec.Cmd {
-			c := exec.Command(os.Args[0])
-			c.Env = append(os.Environ(), daemonSettingsEnv+"="+settings)
-			return c
-		},
+		Command: testDaemon,
 	})
 	require.NoError(t, err)
 	defer func() { require.NoError(t, f.Stop()) }()
--- a/launcher/trial_test.go
+++ b/launcher/trial_test.go
@@ -7,8 +7,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
-	"os/exec"
 	"slices"
 	"sync"
 	"testing"
@@ -78,11 +76,7 @@
 	directory := t.TempDir()
 	c := Config{
 		Directory: directory, Zones: []string{"a", "b", "c", "d"}, Configuration: testFleetConfiguration(), FaultProxies: true,
-		Command: func(settings string) *exec.Cmd {
-			c := exec.Command(os.Args[0])
-			c.Env = append(os.Environ(), daemonSettingsEnv+"="+settings)
-			return c
-		},
+		Command: testDaemon,
 	}
 	for _, edit := range edits {
 		edit(&c.Configuration)
