soaker: count and print only the faults that took effect

A fault of a process or server that another fault still held did nothing, but was counted and printed as if it had happened, which misled readers of a trace.

--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -8,18 +8,23 @@
 	"hibiscusline/disruptor"
 )
 
-// injectFault injects a random fault at a random node. Its repair runs in the background, so that faults overlap.
+// injectFault injects a random fault at a random node. Its repair runs in the background, so that faults overlap. It does
+// nothing if the node's process or server would need to be free for the fault and isn't.
 func (s *soakRun) injectFault() {
-	s.faults++
 	n := s.nodes[s.rng.IntN(len(s.nodes))]
 	duration := 200*time.Millisecond + time.Duration(s.rng.Int64N(int64(3*time.Second)))
+	// Each injects a fault and returns its label, or an empty string if it did nothing.
 	kinds := []func(*node, time.Duration) string{
 		s.killProcess, s.stopProcess, s.pauseProcess, s.reloadSettings, s.delayFromPeers, s.blackholePeers,
 		s.dropToPeers, s.resetPeers, s.blackholeStore, s.resetStore, s.failStore, s.loseStoreResponses,
 		s.dropStoreHistory, s.crashServer, s.drainServer, s.publishConfiguration, s.killAll,
 	}
-	kind := kinds[s.rng.IntN(len(kinds))]
-	fmt.Fprintf(s.config.Output, "%s %s %s %v\n", time.Now().Format("15:04:05.000"), n.settings.Name, kind(n, duration), duration)
+	label := kinds[s.rng.IntN(len(kinds))](n, duration)
+	if label == "" {
+		return
+	}
+	s.faults++
+	fmt.Fprintf(s.config.Output, "%s %s %s %v\n", time.Now().Format("15:04:05.000"), n.settings.Name, label, duration)
 }
 
 // scheduleRepair runs a repair in the background after a delay.
@@ -58,10 +63,11 @@
 }
 
 func (s *soakRun) killProcess(n *node, duration time.Duration) string {
-	if n.tryClaim() {
-		n.kill()
-		s.scheduleRepair(duration/2, func() { s.restart(n) })
+	if !n.tryClaim() {
+		return ""
 	}
+	n.kill()
+	s.scheduleRepair(duration/2, func() { s.restart(n) })
 	return "killed"
 }
 
@@ -73,24 +79,26 @@
 }
 
 func (s *soakRun) stopProcess(n *node, _ time.Duration) string {
-	if n.tryClaim() {
-		n.signal(syscall.SIGTERM)
-		s.scheduleRepair(0, func() {
-			n.wait()
-			s.restart(n)
-		})
+	if !n.tryClaim() {
+		return ""
 	}
+	n.signal(syscall.SIGTERM)
+	s.scheduleRepair(0, func() {
+		n.wait()
+		s.restart(n)
+	})
 	return "stopped"
 }
 
 func (s *soakRun) pauseProcess(n *node, duration time.Duration) string {
-	if n.tryClaim() {
-		n.signal(syscall.SIGSTOP)
-		s.scheduleRepair(duration, func() {
-			n.signal(syscall.SIGCONT)
-			n.release()
-		})
+	if !n.tryClaim() {
+		return ""
 	}
+	n.signal(syscall.SIGSTOP)
+	s.scheduleRepair(duration, func() {
+		n.signal(syscall.SIGCONT)
+		n.release()
+	})
 	return "paused"
 }
 
@@ -151,25 +159,27 @@
 }
 
 func (s *soakRun) crashServer(n *node, duration time.Duration) string {
-	if n.tryClaim() {
-		n.stopServer()
-		s.scheduleRepair(duration, func() {
-			n.startServer()
-			n.release()
-		})
+	if !n.tryClaim() {
+		return ""
 	}
+	n.stopServer()
+	s.scheduleRepair(duration, func() {
+		n.startServer()
+		n.release()
+	})
 	return "backend server ended"
 }
 
 func (s *soakRun) drainServer(n *node, duration time.Duration) string {
-	if n.tryClaim() {
-		n.server.Drain()
-		s.scheduleRepair(2*time.Second+duration, func() {
-			n.stopServer()
-			n.startServer()
-			n.release()
-		})
+	if !n.tryClaim() {
+		return ""
 	}
+	n.server.Drain()
+	s.scheduleRepair(2*time.Second+duration, func() {
+		n.stopServer()
+		n.startServer()
+		n.release()
+	})
 	return "backend server draining"
 }
 
