--- a/review/stand/backend.go
+++ b/review/stand/backend.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -115,7 +116,8 @@
 
 func (b *backend) heartbeats() {
 	for b.stopped.Err() == nil {
-		pause := beat
+		// The reports come about every beat.
+		pause := time.Duration(float64(beat) * (0.9 + 0.2*rand.Float64()))
 		if b.isSilent() {
 			pause = 20 * time.Millisecond
 		} else if b.sendBeat() {
@@ -294,6 +296,20 @@
 	return false
 }
 
+// reports returns the number of liveness reports so far.
+func (b *backend) reports() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.seq
+}
+
+// setServiceTime sets how long each further request runs.
+func (b *backend) setServiceTime(d time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.serviceTime = func(string) time.Duration { return d }
+}
+
 // runs returns the executions so far.
 func (b *backend) runs() []execution {
 	b.mu.Lock()
@@ -344,6 +360,7 @@
 	}
 	e := execution{id: id, path: r.URL.Path, caller: r.Header.Get("Caller-Service"), at: time.Now()}
 	b.executions = append(b.executions, e)
+	serviceTime := b.serviceTime(e.path)
 	b.mu.Unlock()
 	defer func() {
 		b.mu.Lock()
@@ -357,7 +374,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	select {
-	case <-time.After(b.serviceTime(e.path)):
+	case <-time.After(serviceTime):
 	case <-r.Context().Done():
 		return
 	case <-b.stopped.Done():
--- a/review/stand/owner.go
+++ b/review/stand/owner.go
@@ -71,10 +71,11 @@
 }
 
 // end returns the violation, if there was one.
-func (o *overlaps) end() []string {
+func (o *overlaps) end(w *world) []string {
 	close(o.stop)
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	w.logf("longest time with two holders of a key: %v %s", o.longest.Round(time.Millisecond), o.which)
 	if o.longest <= maxOverlap {
 		return nil
 	}
@@ -126,9 +127,7 @@
 	}
 	const key = 1000
 	old := w.holderOf(key)
-	old.mu.Lock()
-	old.serviceTime = func(string) time.Duration { return longWork }
-	old.mu.Unlock()
+	old.setServiceTime(longWork)
 	var entry *node
 	for _, n := range w.nodes {
 		if n != old.n {
@@ -239,5 +238,5 @@
 		w.logf("the late report of %s was answered %d", first.id, status)
 	}
 	time.Sleep(10 * time.Second)
-	return o.end(), nil
+	return o.end(w), nil
 }
--- a/review/stand/traffic.go
+++ b/review/stand/traffic.go
@@ -115,7 +115,7 @@
 				select {
 				case <-stop:
 					return
-				case <-time.After(25 * time.Millisecond):
+				case <-time.After(100 * time.Millisecond):
 				}
 				a := w.nodes[i].send(http.MethodGet, "/patterns/x", noKey, time.Second)
 				mu.Lock()
@@ -167,6 +167,10 @@
 	killAfter    = 800 * time.Millisecond
 	restartAfter = 1800 * time.Millisecond
 	storeDown    = 2500 * time.Millisecond
+	// orderTime is how long a server works on an order.
+	orderTime = 200 * time.Millisecond
+	// orderCallers is the number of consumers that send orders, one at a time each.
+	orderCallers = 12
 	// serves is how long the server goes on serving after it has deregistered.
 	serves = 12 * time.Second
 )
@@ -179,12 +183,15 @@
 	}
 	n := w.nodes[0]
 	b := n.backend()
+	for _, n := range w.nodes {
+		n.backend().setServiceTime(orderTime)
+	}
 	time.Sleep(4 * time.Second)
 	stop := make(chan struct{})
 	var group sync.WaitGroup
 	var mu sync.Mutex
-	sent := map[string]time.Time{}
-	for i := range w.nodes {
+	answers := map[string]answer{}
+	for i := range orderCallers {
 		group.Go(func() {
 			for {
 				select {
@@ -192,9 +199,9 @@
 					return
 				case <-time.After(50 * time.Millisecond):
 				}
-				a := w.nodes[i].send(http.MethodPost, "/orders/1", noKey, 600*time.Millisecond)
+				a := w.nodes[i%len(w.nodes)].send(http.MethodPost, "/orders/1", noKey, 600*time.Millisecond)
 				mu.Lock()
-				sent[a.id] = a.sent
+				answers[a.id] = a
 				mu.Unlock()
 			}
 		})
@@ -228,20 +235,27 @@
 		w.logf("the store is back; all machines are in touch in %v", stableWindow)
 	}
 	time.Sleep(time.Until(acked.Add(serves)))
+	b.crash()
+	time.Sleep(time.Second)
 	close(stop)
 	group.Wait()
-	late := 0
+	late, lost := 0, 0
 	var last time.Duration
 	for _, e := range b.runs() {
-		if e.at.After(acked.Add(drain)) && sent[e.id].After(inTouch) && sent[e.id].After(acked.Add(drain)) {
-			late++
-			last = e.at.Sub(acked)
+		a := answers[e.id]
+		if a.sent.Before(inTouch) || a.sent.Before(acked.Add(drain)) {
+			continue
+		}
+		late++
+		last = e.at.Sub(acked)
+		if a.status != http.StatusOK {
+			lost++
 		}
 	}
-	b.crash()
-	w.logf("%d requests, sent when all machines were in touch, reached the server later than %v after the ack", late, drain)
+	w.logf("%d orders, sent when all machines were in touch, reached the server later than %v after the ack; %d of them were begun there and lost at its end",
+		late, drain, lost)
 	if late > 0 {
-		return []string{fmt.Sprintf("%d requests reached a server later than %v after its leaving was acknowledged, the last one %v after it",
+		return []string{fmt.Sprintf("%d orders reached a server later than %v after its leaving was acknowledged, the last one %v after it",
 			late, drain, last.Round(time.Millisecond))}, nil
 	}
 	return nil, nil
