--- a/review/stand/owner.go
+++ b/review/stand/owner.go
@@ -181,7 +181,9 @@
 	slowness = 60
 	slowFor  = 4500 * time.Millisecond
 	// lateBy is the time from when a restarted process listens to the arrival of the delayed report.
-	lateBy = 20 * time.Millisecond
+	lateBy = 5 * time.Millisecond
+	// restartAfterEnd is the time from the end of a process to its next start.
+	restartAfterEnd = 100 * time.Millisecond
 )
 
 // lateReport replaces a server as planned, and restarts the process beside it as planned. With the trouble, the store is
@@ -219,13 +221,18 @@
 	}
 	time.Sleep(2 * time.Second)
 	o := w.watchOverlaps()
+	seq := second.reports()
+	if err := w.await("the server has just reported", 3*time.Second, func() bool { return second.reports() > seq }); err != nil {
+		return nil, err
+	}
+	time.Sleep(beat * 3 / 5)
 	n.terminate()
 	if w.trouble {
 		w.store.slowness.Store(slowness)
 		w.logf("the store takes %d times as long for an answer", slowness)
 		time.AfterFunc(slowFor, func() { w.store.slowness.Store(1) })
 	}
-	time.Sleep(300 * time.Millisecond)
+	time.Sleep(restartAfterEnd)
 	if err := n.launch(); err != nil {
 		return nil, err
 	}
