sidecar, registrar: an acknowledged leaving outlives the process that acknowledged it

Cause: serveDeregister acknowledged before the store had the record. With the store down, nobody but that process knew of the leaving, and its successor took the state ready from the record in the store. The same holds for a heartbeat that says draining, for a deregistration at a process that doesn't know its server yet (200, and dropped), and for the drain time, which began anew with each start.

Change: a leaving is acknowledged once the store has it, or else two other processes; otherwise 503. A process that starts asks them before its server gets a request, and takes the server over only if one has answered. In every process a leaving that is known outweighs a record that says ready, until a later incarnation.

--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -35,13 +35,17 @@
 type View struct {
 	// End is an offset below which the view has every record.
 	End uint64
-	// Members holds the member records by name, and Tables the assignment tables by service.
+	// Members holds the member records by name, with the leavings that the store may not know, and Tables the assignment
+	// tables by service.
 	Members map[string]Member
 	Tables  map[string]*assigner.Table
 	// ByService holds the members of each service, sorted by name.
 	ByService map[string][]Member
 	// ByZone holds the number of members by zone.
 	ByZone map[string]int
+	// stored holds the member records by name as the store has them, and leavings what it may not know of them.
+	stored   map[string]Member
+	leavings []Leaving
 	// offsets holds the offset of each record by key.
 	offsets map[string]uint64
 	// unreadable holds the keys whose newest record can't be decoded.
@@ -73,7 +77,7 @@
 	r := &Registrar{entries: map[string]Entry{}}
 	r.view.Store(&View{
 		Members: map[string]Member{}, Tables: map[string]*assigner.Table{}, ByService: map[string][]Member{},
-		offsets: map[string]uint64{}, unreadable: map[string]struct{}{},
+		stored: map[string]Member{}, offsets: map[string]uint64{}, unreadable: map[string]struct{}{},
 	})
 	return r
 }
@@ -88,8 +92,8 @@
 func (r *Registrar) Apply(entries []Entry, end uint64) error {
 	old := r.View()
 	next := &View{
-		End: max(old.End, end), Members: maps.Clone(old.Members), Tables: maps.Clone(old.Tables), ByService: old.ByService,
-		ByZone: old.ByZone, offsets: maps.Clone(old.offsets), unreadable: maps.Clone(old.unreadable),
+		End: max(old.End, end), stored: maps.Clone(old.stored), leavings: old.leavings, Tables: maps.Clone(old.Tables),
+		offsets: maps.Clone(old.offsets), unreadable: maps.Clone(old.unreadable),
 	}
 	var failed []string
 	changed := end > old.End
@@ -119,7 +123,7 @@
 func (v *View) apply(e Entry) error {
 	if name, found := strings.CutPrefix(e.Key, memberPrefix); found {
 		if len(e.Value) == 0 {
-			delete(v.Members, name)
+			delete(v.stored, name)
 			return nil
 		}
 		m, err := DecodeMember(e.Value)
@@ -129,7 +133,7 @@
 		if m.Name != name {
 			return errors.Errorf("the record names the member %q", m.Name)
 		}
-		v.Members[name] = m
+		v.stored[name] = m
 		return nil
 	}
 	service, found := strings.CutPrefix(e.Key, tablePrefix)
@@ -152,6 +156,7 @@
 }
 
 func (v *View) buildIndexes() {
+	v.applyLeavings()
 	v.ByService, v.ByZone = map[string][]Member{}, map[string]int{}
 	for _, name := range slices.Sorted(maps.Keys(v.Members)) {
 		m := v.Members[name]
--- a/sidecar/heartbeat.go
+++ b/sidecar/heartbeat.go
@@ -41,6 +41,10 @@
 		http.Error(w, "a later incarnation of this server is known", http.StatusGone)
 		return
 	}
+	if h.Draining && !a.secureLeaving(r.Context(), h.Incarnation) {
+		refuseLeaving(w)
+		return
+	}
 	body, err := platform.EncodeHeartbeatResponse(response)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
@@ -105,11 +109,11 @@
 	}
 	s.lastHeartbeat, s.service, s.slots = now, h.Service, h.Slots
 	a.logGrants(now, h, response)
-	if s.state != registrar.Draining {
-		a.setServerState(registrar.Ready)
-	}
-	if h.Draining {
+	if h.Draining || s.drainingSince != 0 {
 		a.startDraining(now)
+	} else {
+		a.setServerState(registrar.Ready)
+		a.endUseOfLeftServer()
 	}
 	a.updateExecutor()
 	wake(a.callWake)
--- a/sidecar/publish.go
+++ b/sidecar/publish.go
@@ -145,7 +145,8 @@
 
 // ownRecord returns this sidecar's record if it differs from the stored one, or nil.
 func (a *Sidecar) ownRecord() ([]platform.Record, error) {
-	stored, found := a.registrar.View().Members[a.settings.Name]
+	v := a.registrar.View()
+	stored, found := v.StoredMember(a.settings.Name)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if !a.loaded || a.own.State == registrar.Absent && !found {
@@ -157,9 +158,12 @@
 	own := a.own
 	own.Stopping = a.stopping.Load()
 	if own.State == registrar.Absent {
-		own.Incarnation, own.State, own.Slots, own.Service = stored.Incarnation, stored.State, stored.Slots, stored.Service
+		own.Incarnation, own.State, own.Slots, own.Service = stored.Incarnation, v.Members[own.Name].State, stored.Slots, stored.Service
 	}
-	if found && stored == own && !a.registrar.View().Unreadable(registrar.MemberKey(own.Name)) {
+	if own.State == registrar.Ready && v.HasLeft(own.Name, own.Incarnation) {
+		own.State = registrar.Draining
+	}
+	if found && stored == own && !v.Unreadable(registrar.MemberKey(own.Name)) {
 		return nil, nil
 	}
 	value, err := own.Encode()
--- a/sidecar/records.go
+++ b/sidecar/records.go
@@ -142,7 +142,14 @@
 	a.mu.Lock()
 	if own, settled := v.MemberBeforeEnd(a.settings.Name); settled {
 		a.published = own
-		a.resumeServer()
+		if a.mayResume {
+			a.resumeServer()
+		}
+		a.endUseOfLeftServer()
+	}
+	if !a.leavingsAsked && (a.loaded || len(v.Members) > 0) {
+		a.leavingsAsked = true
+		go a.fetchLeavings()
 	}
 	if readStart != 0 {
 		a.granter.Observe(v.Tables[a.settings.Service], readStart)
--- a/sidecar/server.go
+++ b/sidecar/server.go
@@ -23,6 +23,8 @@
 	lastHeartbeat time.Duration
 	// drainingSince is when the server's drain was acknowledged, or zero.
 	drainingSince time.Duration
+	// drainOver means that an earlier process acknowledged the drain, at an unknown time.
+	drainOver bool
 	// renewed and grantCount describe the last response to a heartbeat: whether it renewed the server's grants, and the
 	// number of grants in it.
 	renewed    bool
@@ -88,11 +90,8 @@
 	_ = a.logger.Log("event", "server_resumed", "instance", p.Incarnation.Instance, "state", p.State, "epoch", p.Epoch)
 	a.granter.Resume(p.Incarnation)
 	a.server = serverState{incarnation: p.Incarnation, service: p.Service, slots: p.Slots, lastHeartbeat: timer.Now()}
-	if p.State == registrar.Draining {
-		a.startDraining(timer.Now())
-	} else {
-		a.setServerState(registrar.Ready)
-	}
+	a.setServerState(registrar.Ready)
+	a.endUseOfLeftServer()
 	a.updateExecutor()
 }
 
@@ -126,10 +125,13 @@
 func (a *Sidecar) updateExecutor() {
 	s := a.server
 	g := executor.Server{}
-	if s.state == registrar.Ready || s.state == registrar.Draining {
+	if a.leavingsKnown && (s.state == registrar.Ready || s.state == registrar.Draining) {
 		g = executor.Server{Instance: s.incarnation.Instance, Service: s.service, Slots: s.slots}
 	}
-	if s.drainingSince != 0 {
+	switch {
+	case s.drainOver:
+		g.RefuseFrom, g.RefuseKeyedFrom = s.drainingSince, s.drainingSince
+	case s.drainingSince != 0:
 		drain := float64(a.drain.Load())
 		g.RefuseFrom = s.drainingSince + time.Duration(drainCutoffShare*drain)
 		g.RefuseKeyedFrom = s.drainingSince + time.Duration(keyedDrainCutoffShare*drain)
@@ -148,16 +150,43 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	incarnation, leaves := a.observeDeregistration(incarnation)
+	switch {
+	case incarnation.Born == 0:
+		_ = a.logger.Log("event", "deregistration_rejected", "instance", incarnation.Instance, "error", "born is missing")
+		http.Error(w, "deregistration: born is missing", http.StatusBadRequest)
+	case leaves && !a.secureLeaving(r.Context(), incarnation):
+		refuseLeaving(w)
+	default:
+		w.WriteHeader(http.StatusOK)
+	}
+}
+
+// observeDeregistration applies a deregistration. It returns the incarnation that leaves and reports whether that may
+// still be used.
+func (a *Sidecar) observeDeregistration(incarnation assigner.Incarnation) (assigner.Incarnation, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	s := &a.server
-	if incarnation.Instance != s.incarnation.Instance || incarnation.Born != 0 && incarnation.Born != s.incarnation.Born {
-		_ = a.logger.Log("event", "deregister_of_other_life", "instance", incarnation.Instance, "born", incarnation.Born)
-		w.WriteHeader(http.StatusOK)
-		return
+	if incarnation.Born == 0 && incarnation.Instance == s.incarnation.Instance {
+		incarnation = s.incarnation
+	}
+	if incarnation != s.incarnation {
+		_ = a.logger.Log("event", "deregister_of_other_life", "instance", incarnation.Instance, "born", incarnation.Born, "known", s.incarnation.Born)
+		// The process may not have seen a heartbeat of a server that has just started, or, after its own start, any.
+		return incarnation, incarnation.Born > s.incarnation.Born
 	}
 	s.deregistered = true
 	a.startDraining(timer.Now())
 	a.updateExecutor()
-	w.WriteHeader(http.StatusOK)
+	return incarnation, true
 }
+
+// refuseLeaving tells a server that its leaving isn't acknowledged yet.
+func refuseLeaving(w http.ResponseWriter) {
+	w.Header().Set("Retry-After", leavingRetryAfter)
+	http.Error(w, "the leaving can't be stored yet", http.StatusServiceUnavailable)
+}
+
+// leavingRetryAfter is when a server may announce its leaving again, in seconds.
+const leavingRetryAfter = "0.5"
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -104,6 +104,11 @@
 	loadedSettings loader.SidecarSettings
 	// loaded means that the records of the store were read once, including this sidecar's record from before a restart.
 	loaded bool
+	// leavingsAsked means that other sidecars were asked for the leavings that an earlier process of this name
+	// acknowledged, and leavingsKnown that they were given the time to answer. mayResume means that one did answer.
+	leavingsAsked, leavingsKnown, mayResume bool
+	// replicated is the leaving that other sidecars keep, or nil.
+	replicated atomic.Pointer[registrar.Leaving]
 	// sequence and unacknowledged are used only by publishOwn.
 	sequence       uint64
 	unacknowledged []platform.Record
--- a/sidecar/sync.go
+++ b/sidecar/sync.go
@@ -192,6 +192,9 @@
 
 func (a *Sidecar) serveSync(ctx context.Context, q *carrier.Request) *carrier.Response {
 	u, err := url.Parse(q.Target)
+	if err == nil && u.Path == leavingsPath {
+		return a.serveLeavings(q, u.Query().Get("member"))
+	}
 	if err != nil || u.Path != syncPath {
 		return carrier.NewResponse(http.StatusNotFound, "no such path")
 	}
