sidecar, delegator: one request for a whole configuration at a time, and reads of the newest version only

Each read of the store fetched all versions in between, and one that took more than 1.5 s was given up although it progressed.

Change: only one request for a document at a time, by a loop of its own, and only if nothing arrives from the store. Sync responses say where the store has the configuration (a header field, which earlier releases ignore), so that reads begin there. Only the newest version of a read is decoded. A transfer is given up after a pause of 1.5 s, not after 1.5 s.

Before, the new tests failed: TestOneDocumentRequestAtATime: "4" is not less than or equal to "1" TestSlowTransferIsNotAbandoned: Condition never satisfied: the process has the configuration They pass now. One document alone takes seconds on a full link.

--- a/carrier/pool.go
+++ b/carrier/pool.go
@@ -369,6 +369,9 @@
 		}
 		n, err := h.Body.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
+		if n > 0 && x.request.OnProgress != nil {
+			x.request.OnProgress()
+		}
 		switch {
 		case err == io.EOF:
 			return body, nil
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -68,12 +68,14 @@
 	// followRecords.
 	delegated atomic.Bool
 	delegator *delegator.Delegator
-	// newerConfig signals that another sidecar has a newer configuration. newerConfigSince is the time at which this
-	// was first reported, or zero.
-	newerConfig      chan struct{}
-	newerConfigSince atomic.Int64
-	current          atomic.Pointer[configuration]
-	storeHealth      dependency
+	// announced is the newest configuration that other sidecars have. newerConfig and documentWake signal that this one
+	// lacks it.
+	announced                 delegator.Announced
+	newerConfig, documentWake chan struct{}
+	// configurationProgress is the time at which a part of a configuration arrived from the store.
+	configurationProgress atomic.Int64
+	current               atomic.Pointer[configuration]
+	storeHealth           dependency
 	// lastRefresh is the time of the latest refreshFrom.
 	lastRefresh atomic.Int64
 	// refreshing and releaseBusy limit refreshes requested by peers and releaseSlices to one at a time.
@@ -135,7 +137,7 @@
 		store: platform.NewStore(s.Store), registrar: registrar.New(), metrics: newMeters(),
 		suspectedSince: map[suspicionKey]time.Duration{}, planWake: make(chan struct{}, 1),
 		publishWake: make(chan struct{}, 1), callWake: make(chan struct{}, 1),
-		newerConfig: make(chan struct{}, 1),
+		newerConfig: make(chan struct{}, 1), documentWake: make(chan struct{}, 1),
 	}
 	a.loadedSettings = s
 	a.heartbeat.Store(int64(s.Heartbeat))
@@ -273,7 +275,7 @@
 // loops returns the background loops, which run until the process exits.
 func (a *Sidecar) loops() []func(context.Context) {
 	loops := []func(context.Context){
-		a.followRecords, a.followConfiguration, a.publishOwn, a.planLoop, a.gossip, a.watchServer, a.followSettings,
+		a.followRecords, a.followConfiguration, a.fetchDocuments, a.publishOwn, a.planLoop, a.gossip, a.watchServer, a.followSettings,
 	}
 	if a.settings.Grants == loader.GrantsByRequest {
 		loops = append(loops, a.callServer)
--- a/sidecar/sync.go
+++ b/sidecar/sync.go
@@ -90,14 +90,31 @@
 func (a *Sidecar) pullFrom(ctx context.Context, peer netip.AddrPort, wait time.Duration) (time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+syncTimeout)
 	defer cancel()
+	return a.pull(ctx, pullRequest{peer: peer, wait: wait})
+}
+
+// pullRequest is a request for the updates of another sidecar.
+type pullRequest struct {
+	peer netip.AddrPort
+	// wait is how long the other sidecar holds the request while it has nothing new.
+	wait time.Duration
+	// document requests a newer configuration of any size.
+	document bool
+	// onProgress, if it isn't nil, is called for each part of the response.
+	onProgress func()
+}
+
+func (a *Sidecar) pull(ctx context.Context, p pullRequest) (time.Duration, error) {
 	start := timer.Now()
 	query := url.Values{
 		"from": {strconv.FormatUint(a.registrar.View().End, 10)}, "version": {strconv.FormatUint(a.version(), 10)},
-		"peer": {a.own.Peer.String()}, "wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
-		"document": {strconv.FormatBool(a.needsDocument())},
+		"peer": {a.own.Peer.String()}, "wait_ms": {strconv.FormatInt(p.wait.Milliseconds(), 10)},
+		"document": {strconv.FormatBool(p.document)},
 	}
-	q := &carrier.Request{Method: http.MethodGet, Target: syncPath + "?" + query.Encode(), Host: peer.String(), Header: http.Header{}}
-	r, err := a.peers.ExchangeUntracked(ctx, peer, q)
+	r, err := a.peers.ExchangeUntracked(ctx, p.peer, &carrier.Request{
+		Method: http.MethodGet, Target: syncPath + "?" + query.Encode(), Host: p.peer.String(), Header: http.Header{},
+		OnProgress: p.onProgress,
+	})
 	if err != nil {
 		return -1, err
 	}
@@ -112,10 +129,11 @@
 		readStart = start + time.Duration(n.Held)*time.Microsecond - age
 	}
 	a.apply(n.Entries, n.End, readStart)
+	offset := configurationOffset(r.Header)
+	a.observeVersion(n.Version, offset, p.peer)
 	if len(n.Document) > 0 {
-		a.applyConfiguration(n.Document, peer.String())
+		a.applyConfiguration(n.Document, offset, p.peer.String())
 	}
-	a.observeVersion(n.Version)
 	return age, nil
 }
 
@@ -208,7 +226,7 @@
 		return carrier.NewResponse(http.StatusBadRequest, "malformed query")
 	}
 	a.awaitUpdates(ctx, from, version, min(time.Duration(wait)*time.Millisecond, maxSyncWait))
-	n := a.updatesSince(from, version, document)
+	n, header := a.updatesSince(from, version, document)
 	n.Held = (timer.Now() - q.Received).Microseconds()
 	if from > n.End || version > n.Version {
 		go func() {
@@ -222,7 +240,7 @@
 	if err != nil {
 		return carrier.NewResponse(http.StatusInternalServerError, err.Error())
 	}
-	return &carrier.Response{Status: http.StatusOK, Header: http.Header{}, Body: data}
+	return &carrier.Response{Status: http.StatusOK, Header: header, Body: data}
 }
 
 // awaitUpdates waits up to a limit while this sidecar has the same records and configuration as the requesting one.
@@ -255,8 +273,8 @@
 }
 
 // updatesSince returns the records from an offset on and the configuration if it is newer than a version. A large
-// configuration is included only on request.
-func (a *Sidecar) updatesSince(from, version uint64, document bool) syncResponse {
+// configuration is included only on request. The header says where the store has the configuration.
+func (a *Sidecar) updatesSince(from, version uint64, document bool) (syncResponse, http.Header) {
 	a.applyMu.Lock()
 	defer a.applyMu.Unlock()
 	n := syncResponse{End: a.registrar.View().End, Age: -1, Version: a.version()}
@@ -269,7 +287,11 @@
 	if c := a.current.Load(); c != nil && c.version > version && (document || len(c.document) <= maxSyncedDocument) {
 		n.Document = c.document
 	}
-	return n
+	header := http.Header{}
+	if c := a.current.Load(); c != nil && c.offset != 0 {
+		header.Set(offsetField, strconv.FormatUint(c.offset, 10))
+	}
+	return n, header
 }
 
 // peerChanged logs that another sidecar became unreachable or reachable.
