sidecar, patcher: configurations go between processes as patches

With one request at a time and reads of the newest version only, a process on a full link was still behind by up to 8 s: one document of 283 kB takes 1.8 s there and more.

Change: a sync response holds a patch of the version that the other process has, if it is kept and the patch has 2 kB at most, or on request (zstd with that version as dictionary, on a canonical form). Processes that get it needn't read the store. Earlier releases don't ask for patches and get documents as before. A random synchronization may take 1.5 s, with a probe after 0.6 s as before, so that a process whose link delays everything still learns of changes.

Before, TestSmallChangeOfLargeConfiguration failed: "7" is not less than or equal to "4", only those that read the store.

--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -1,18 +1,16 @@
 package sidecar
 
 import (
+	"bytes"
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"net/netip"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"hibiscusline/delegator"
-	"hibiscusline/executor"
 	"hibiscusline/matcher"
 	"hibiscusline/platform"
 	"hibiscusline/registrar"
@@ -41,6 +39,7 @@
 	}
 	a.announced.Applied(timer.Now(), c.Version)
 	a.current.Store(&configuration{version: c.Version, document: document, offset: offset})
+	a.documents.add(c.Version, document)
 	a.forwarder.SetRoutes(matcher.New(c, rand.Uint64()))
 	_ = a.logger.Log("event", "configuration", "version", c.Version, "source", source, "routes", len(c.Routes))
 	if len(c.Unrecognized) > 0 {
@@ -50,23 +49,6 @@
 	a.updates.send()
 }
 
-// maxSyncedDocument is the size in bytes of the largest configuration that sidecars include in sync responses unasked.
-// Larger ones are read from the store, which has a fast link: the slow link of a sidecar that serves several others
-// would delay all of them.
-const maxSyncedDocument = 16 << 10
-
-// offsetField is the header field of sync responses with the offset of the sender's configuration in the store.
-const offsetField = executor.FieldPrefix + "Configuration-Offset"
-
-// configurationOffset returns the offset that a sync response states, or zero. Earlier releases don't send it.
-func configurationOffset(header http.Header) uint64 {
-	offset, err := strconv.ParseUint(header.Get(offsetField), 10, 64)
-	if err != nil {
-		return 0
-	}
-	return offset
-}
-
 // observeVersion records the configuration of another sidecar.
 func (a *Sidecar) observeVersion(version, offset uint64, source netip.AddrPort) {
 	if version <= a.version() {
@@ -77,58 +59,6 @@
 	wake(a.documentWake)
 }
 
-const (
-	// documentFetchDelay is how long a sidecar that knows of a newer configuration waits while nothing of it arrives from the
-	// store, before it requests the whole document from another sidecar.
-	documentFetchDelay = time.Second
-	// documentRetryDelay is the wait after a request for a document.
-	documentRetryDelay = 250 * time.Millisecond
-)
-
-// fetchDocuments requests a newer configuration that the store doesn't deliver from other sidecars, from one at a time:
-// several responses at once would take the link from each other, and from everything else.
-func (a *Sidecar) fetchDocuments(ctx context.Context) {
-	for attempt := 0; ; {
-		lag, behind := a.announced.Behind(a.version())
-		if !behind {
-			attempt = 0
-			select {
-			case <-a.documentWake:
-				continue
-			case <-ctx.Done():
-				return
-			}
-		}
-		idleSince := max(lag.Since, time.Duration(a.configurationProgress.Load()))
-		if wait := idleSince + documentFetchDelay - timer.Now(); wait > 0 {
-			if !timer.Sleep(ctx, wait) {
-				return
-			}
-			continue
-		}
-		peer := lag.Source
-		if other, found := a.randomPeer(); found && attempt%2 == 1 {
-			peer = other
-		}
-		attempt++
-		a.fetchDocument(ctx, peer)
-		if !timer.Sleep(ctx, documentRetryDelay) {
-			return
-		}
-	}
-}
-
-// fetchDocument requests the whole configuration from another sidecar.
-func (a *Sidecar) fetchDocument(ctx context.Context, peer netip.AddrPort) {
-	a.metrics.count("hibiscus_documents_requested_total")
-	ctx, progress, cancel := boundTransfer(ctx, storeCallTimeout, func() {})
-	defer cancel()
-	start := timer.Now()
-	if _, err := a.pull(ctx, pullRequest{peer: peer, document: true, onProgress: progress}); err != nil {
-		_ = a.logger.Log("event", "document_failed", "peer", peer, "ms", (timer.Now() - start).Milliseconds(), "error", err)
-	}
-}
-
 // followConfiguration keeps the operators' configuration up to date. While other sidecars read the store for this one,
 // it reads the store only after it has learned of a newer version. Versions that another one has replaced are skipped.
 func (a *Sidecar) followConfiguration(ctx context.Context) {
@@ -159,7 +89,8 @@
 			a.storeHealth.markUp()
 		}
 		if e, found := newestConfiguration(entries); found {
-			a.applyConfiguration(e.Value, e.Offset, "store")
+			// A clone doesn't keep the other versions of the read in memory.
+			a.applyConfiguration(bytes.Clone(e.Value), e.Offset, "store")
 		}
 		if err == nil && behind && a.version() < lag.Version {
 			if whole {
@@ -204,7 +135,7 @@
 	if loaded && wait > 0 {
 		limit = wait + readMargin
 	}
-	ctx, progress, cancel := boundTransfer(ctx, limit, func() { a.configurationProgress.Store(int64(timer.Now())) })
+	ctx, progress, cancel := boundTransfer(ctx, limit)
 	defer cancel()
 	store, start := a.store.WithProgress(progress), timer.Now()
 	var b platform.Batch
--- /dev/null
+++ b/sidecar/documents.go
@@ -0,0 +1,221 @@
+package sidecar
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"hibiscusline/executor"
+	"hibiscusline/patcher"
+	"hibiscusline/platform"
+	"hibiscusline/timer"
+)
+
+// Sidecars send each other configurations as patches of the version that the other one has. Most changes are small, and
+// configurations are large: on an instance with a full link the whole document takes seconds.
+
+// Header fields of sync responses.
+const (
+	// offsetField is the offset of the sender's configuration in the store.
+	offsetField = executor.FieldPrefix + "Configuration-Offset"
+	// baseField means that the document is a patch, and is the version that the patch applies to. It is zero for a patch
+	// that holds the whole document.
+	baseField = executor.FieldPrefix + "Configuration-Base"
+)
+
+const (
+	// maxSyncedDocument is the size in bytes of the largest configuration that sidecars include whole in sync responses
+	// unasked, and maxSyncedPatch that of the largest patch. Larger ones are read from the store, which has a fast link: the
+	// slow link of a sidecar that serves several others would delay all of them.
+	maxSyncedDocument = 16 << 10
+	maxSyncedPatch    = 2 << 10
+	// maxDocumentBytes bounds a configuration that another sidecar sends.
+	maxDocumentBytes = 8 << 20
+	// maxDocuments is the number of versions that are kept to make patches from.
+	maxDocuments = 4
+)
+
+// documents holds the latest configurations, and the patches from earlier ones to the newest. It is guarded by applyMu.
+type documents struct {
+	list    []keptDocument
+	patches map[uint64][]byte
+}
+
+// keptDocument is a configuration as it was read, or in its canonical form, which patches need.
+type keptDocument struct {
+	version   uint64
+	document  []byte
+	canonical bool
+}
+
+func (d *documents) add(version uint64, document []byte) {
+	d.list = append(d.list, keptDocument{version: version, document: document})
+	d.list = d.list[max(len(d.list)-maxDocuments, 0):]
+	d.patches = map[uint64][]byte{}
+}
+
+// patch returns a patch that turns the configuration of a version into the newest one. The version is zero, or that of a
+// kept configuration.
+func (d *documents) patch(version uint64) ([]byte, error) {
+	if patch, found := d.patches[version]; found {
+		return patch, nil
+	}
+	var base []byte
+	if version != 0 {
+		var err error
+		if base, err = d.canonical(version); err != nil {
+			return nil, err
+		}
+	}
+	newest, err := d.canonical(d.list[len(d.list)-1].version)
+	if err != nil {
+		return nil, err
+	}
+	patch, err := patcher.Encode(base, newest)
+	if err != nil {
+		return nil, err
+	}
+	d.patches[version] = patch
+	return patch, nil
+}
+
+// keeps reports whether the configuration of a version is kept.
+func (d *documents) keeps(version uint64) bool {
+	return slices.ContainsFunc(d.list, func(k keptDocument) bool { return k.version == version })
+}
+
+// canonical returns the canonical form of a kept configuration.
+func (d *documents) canonical(version uint64) ([]byte, error) {
+	i := slices.IndexFunc(d.list, func(k keptDocument) bool { return k.version == version })
+	if i < 0 {
+		return nil, errors.Errorf("configuration %d isn't kept", version)
+	}
+	k := &d.list[i]
+	if !k.canonical {
+		document, err := platform.CanonicalConfiguration(k.document)
+		if err != nil {
+			return nil, err
+		}
+		k.document, k.canonical = document, true
+	}
+	return k.document, nil
+}
+
+// documentQuery is what a sync request asks of the configuration.
+type documentQuery struct {
+	// version is the one that the requesting sidecar has.
+	version uint64
+	// whole requests a newer configuration of any size.
+	whole bool
+	// patches means that the requesting sidecar applies patches.
+	patches bool
+}
+
+// documentFor returns the configuration for a sync response, as a patch if the header says so, or nil. The caller holds
+// applyMu.
+func (a *Sidecar) documentFor(c *configuration, q documentQuery, header http.Header) []byte {
+	if c.version <= q.version {
+		return nil
+	}
+	kept := a.documents.keeps(q.version)
+	if q.patches && (kept || q.whole) {
+		base := uint64(0)
+		if kept {
+			base = q.version
+		}
+		patch, err := a.documents.patch(base)
+		if err != nil {
+			_ = a.logger.Log("event", "patch_failed", "version", c.version, "base", base, "error", err)
+		} else if q.whole || len(patch) <= maxSyncedPatch {
+			header.Set(baseField, strconv.FormatUint(base, 10))
+			return patch
+		}
+	}
+	if q.whole || len(c.document) <= maxSyncedDocument {
+		return c.document
+	}
+	return nil
+}
+
+// headerNumber returns the number in a header field, or zero. Earlier releases don't send the fields.
+func headerNumber(header http.Header, name string) uint64 {
+	value, err := strconv.ParseUint(header.Get(name), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return value
+}
+
+// expandDocument returns the configuration of a sync response.
+func (a *Sidecar) expandDocument(data []byte, header http.Header) ([]byte, error) {
+	if header.Get(baseField) == "" {
+		return data, nil
+	}
+	version := headerNumber(header, baseField)
+	if version == 0 {
+		return patcher.Decode(nil, data, maxDocumentBytes)
+	}
+	a.applyMu.Lock()
+	base, err := a.documents.canonical(version)
+	a.applyMu.Unlock()
+	if err != nil {
+		return nil, err
+	}
+	return patcher.Decode(base, data, maxDocumentBytes)
+}
+
+const (
+	// documentFetchDelay is how long a sidecar that knows of a newer configuration waits for the store before it requests
+	// the document from another sidecar.
+	documentFetchDelay = 500 * time.Millisecond
+	// documentRetryDelay is the wait after a request for a document.
+	documentRetryDelay = 250 * time.Millisecond
+)
+
+// fetchDocuments requests a newer configuration that the store doesn't deliver in time from other sidecars, from one at a
+// time: several responses at once would take the link from each other, and from everything else.
+func (a *Sidecar) fetchDocuments(ctx context.Context) {
+	for attempt := 0; ; {
+		lag, behind := a.announced.Behind(a.version())
+		if !behind {
+			attempt = 0
+			select {
+			case <-a.documentWake:
+				continue
+			case <-ctx.Done():
+				return
+			}
+		}
+		if wait := lag.Since + documentFetchDelay - timer.Now(); wait > 0 {
+			if !timer.Sleep(ctx, wait) {
+				return
+			}
+			continue
+		}
+		peer := lag.Source
+		if other, found := a.randomPeer(); found && attempt%2 == 1 {
+			peer = other
+		}
+		attempt++
+		a.fetchDocument(ctx, peer)
+		if !timer.Sleep(ctx, documentRetryDelay) {
+			return
+		}
+	}
+}
+
+// fetchDocument requests the configuration from another sidecar.
+func (a *Sidecar) fetchDocument(ctx context.Context, peer netip.AddrPort) {
+	a.metrics.count("hibiscus_documents_requested_total")
+	ctx, progress, cancel := boundTransfer(ctx, storeCallTimeout)
+	defer cancel()
+	start := timer.Now()
+	if _, err := a.pull(ctx, pullRequest{peer: peer, document: true, onProgress: progress}); err != nil {
+		_ = a.logger.Log("event", "document_failed", "peer", peer, "ms", (timer.Now() - start).Milliseconds(), "error", err)
+	}
+}
--- a/sidecar/large_configuration_test.go
+++ b/sidecar/large_configuration_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -10,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 
 	"hibiscusline/assigner"
@@ -21,14 +23,16 @@
 // largeRoutes is a number of routes whose configuration takes about 350 kB.
 const largeRoutes = 1500
 
-// publishLarge publishes a configuration with many routes and returns the prefix of the last one.
+// publishLarge publishes a configuration with many routes and returns the prefix of the last one, which differs between
+// versions.
 func (s *cluster) publishLarge(version int) string {
 	routes := []simulator.Route{{Name: "stock", Prefix: "/stock/", Kind: "idempotent", Service: "stock"}}
-	prefix := ""
 	for i := range largeRoutes {
-		prefix = fmt.Sprintf("/v%d/r%d/", version, i)
+		prefix := fmt.Sprintf("/%x/r%d/", i*2654435761%99991, i)
 		routes = append(routes, simulator.Route{Name: fmt.Sprint("r", i), Prefix: prefix, Kind: "idempotent", Service: "orders"})
 	}
+	prefix := fmt.Sprintf("/v%d/", version)
+	routes = append(routes, simulator.Route{Name: "last", Prefix: prefix, Kind: "idempotent", Service: "orders"})
 	require.NoError(s.t, s.store.Publish(version, "h", routes, map[string]bool{"stock": true, "orders": false}))
 	return prefix
 }
@@ -115,3 +119,67 @@
 	require.LessOrEqual(t, peers.mostAtOnce(), 1)
 	s.await("the process has the configuration", func() bool { return s.serves(lagging, prefix) })
 }
+
+// configurationSources returns, for a version, the number of processes that got it from the store and from others.
+func (s *cluster) configurationSources(version int) (store, others int) {
+	for line := range strings.Lines(s.logs.String()) {
+		if !strings.Contains(line, fmt.Sprintf("event=configuration version=%d ", version)) {
+			continue
+		}
+		if strings.Contains(line, "source=store") {
+			store++
+		} else {
+			others++
+		}
+	}
+	return store, others
+}
+
+// TestSmallChangeOfLargeConfiguration guards against processes that fetch a large configuration whole for each small
+// change, so that those with a full link keep an old one for seconds.
+func TestSmallChangeOfLargeConfiguration(t *testing.T) {
+	t.Parallel()
+	s := newCluster(t, 1, 6)
+	s.await("three sidecars leave the reads to others", func() bool { return len(s.delegatingNodes()) == 3 })
+	for version := 2; version <= 4; version++ {
+		prefix := s.publishLarge(version)
+		for _, n := range s.nodes {
+			s.await("every sidecar has the last route", func() bool { return s.serves(n, prefix) })
+		}
+	}
+	s.await("every sidecar has logged the version", func() bool {
+		store, others := s.configurationSources(4)
+		return store+others == len(s.nodes)
+	})
+	store, _ := s.configurationSources(4)
+	require.LessOrEqual(t, store, 4, "only those that read the store")
+}
+
+// TestSyncWithEarlierRelease guards against a sync response that a process of an earlier release can't apply: it sends no
+// parameter patches, and knows neither the header fields nor patches.
+func TestSyncWithEarlierRelease(t *testing.T) {
+	t.Parallel()
+	s := newCluster(t, 1, 1)
+	for version := 2; version <= 3; version++ {
+		prefix := s.publishLarge(version)
+		s.await("the process has the configuration", func() bool { return s.serves(s.nodes[0], prefix) })
+	}
+	document := func(query string) []byte {
+		r, err := http.Get(fmt.Sprintf("http://%s/sync?from=0&version=2&peer=127.0.0.1:1&wait_ms=0&%s", s.nodes[0].settings.Peer, query))
+		require.NoError(t, err)
+		defer func() { require.NoError(t, r.Body.Close()) }()
+		require.Equal(t, http.StatusOK, r.StatusCode)
+		data, err := io.ReadAll(r.Body)
+		require.NoError(t, err)
+		var fields []any
+		require.NoError(t, cbor.Unmarshal(data, &fields))
+		require.Len(t, fields, 6)
+		document, _ := fields[5].([]byte)
+		return document
+	}
+	require.Empty(t, document("document=false"))
+	_, err := platform.DecodeConfiguration(document("document=true"))
+	require.NoError(t, err)
+	require.Less(t, len(document("document=false&patches=true")), 2<<10)
+	require.NotEmpty(t, document("document=false&patches=true"))
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -72,10 +72,8 @@
 	// lacks it.
 	announced                 delegator.Announced
 	newerConfig, documentWake chan struct{}
-	// configurationProgress is the time at which a part of a configuration arrived from the store.
-	configurationProgress atomic.Int64
-	current               atomic.Pointer[configuration]
-	storeHealth           dependency
+	current                   atomic.Pointer[configuration]
+	storeHealth               dependency
 	// lastRefresh is the time of the latest refreshFrom.
 	lastRefresh atomic.Int64
 	// refreshing and releaseBusy limit refreshes requested by peers and releaseSlices to one at a time.
@@ -83,6 +81,8 @@
 
 	// applyMu serializes updates of the registrar and the state derived from them.
 	applyMu sync.Mutex
+	// documents are the latest configurations.
+	documents documents
 	// suspectedSince holds the time at which this sidecar first read each suspicion.
 	suspectedSince map[suspicionKey]time.Duration
 	lastRecordAt   time.Duration
--- a/sidecar/sync.go
+++ b/sidecar/sync.go
@@ -23,6 +23,9 @@
 	gossipInterval = 500 * time.Millisecond
 	// syncTimeout bounds one synchronization, apart from its wait.
 	syncTimeout = 600 * time.Millisecond
+	// gossipTimeout bounds one synchronization with a random sidecar. It is longer, so that a sidecar with a saturated link
+	// learns of changes.
+	gossipTimeout = 1500 * time.Millisecond
 	// maxSyncWait bounds how long a sidecar holds a sync request while it has nothing new.
 	maxSyncWait = 2 * time.Second
 	syncPath    = "/sync"
@@ -51,11 +54,15 @@
 		if !found {
 			continue
 		}
-		if err := a.syncWith(ctx, peer); err == nil || ctx.Err() != nil {
-			continue
+		// A single timeout isn't proof of failure: the link of a sidecar that sends downloads may be saturated. It is
+		// probed, and its response is still of use.
+		check := time.AfterFunc(syncTimeout, func() { a.peers.Check(peer) })
+		call, cancel := context.WithTimeout(ctx, gossipTimeout)
+		_, err := a.pull(call, pullRequest{peer: peer})
+		cancel()
+		if check.Stop() && err != nil && ctx.Err() == nil {
+			a.peers.Check(peer)
 		}
-		// A single timeout isn't proof of failure: the link of a sidecar that sends downloads may be saturated.
-		a.peers.Check(peer)
 	}
 }
 
@@ -109,7 +116,7 @@
 	query := url.Values{
 		"from": {strconv.FormatUint(a.registrar.View().End, 10)}, "version": {strconv.FormatUint(a.version(), 10)},
 		"peer": {a.own.Peer.String()}, "wait_ms": {strconv.FormatInt(p.wait.Milliseconds(), 10)},
-		"document": {strconv.FormatBool(p.document)},
+		"document": {strconv.FormatBool(p.document)}, "patches": {"true"},
 	}
 	r, err := a.peers.ExchangeUntracked(ctx, p.peer, &carrier.Request{
 		Method: http.MethodGet, Target: syncPath + "?" + query.Encode(), Host: p.peer.String(), Header: http.Header{},
@@ -129,11 +136,16 @@
 		readStart = start + time.Duration(n.Held)*time.Microsecond - age
 	}
 	a.apply(n.Entries, n.End, readStart)
-	offset := configurationOffset(r.Header)
-	a.observeVersion(n.Version, offset, p.peer)
+	offset := headerNumber(r.Header, offsetField)
 	if len(n.Document) > 0 {
-		a.applyConfiguration(n.Document, offset, p.peer.String())
+		document, err := a.expandDocument(n.Document, r.Header)
+		if err != nil {
+			_ = a.logger.Log("event", "configuration_rejected", "source", p.peer, "error", err)
+		} else {
+			a.applyConfiguration(document, offset, p.peer.String())
+		}
 	}
+	a.observeVersion(n.Version, offset, p.peer)
 	return age, nil
 }
 
@@ -226,7 +238,8 @@
 		return carrier.NewResponse(http.StatusBadRequest, "malformed query")
 	}
 	a.awaitUpdates(ctx, from, version, min(time.Duration(wait)*time.Millisecond, maxSyncWait))
-	n, header := a.updatesSince(from, version, document)
+	// Earlier releases don't send the parameter patches.
+	n, header := a.updatesSince(from, documentQuery{version: version, whole: document, patches: query.Get("patches") == "true"})
 	n.Held = (timer.Now() - q.Received).Microseconds()
 	if from > n.End || version > n.Version {
 		go func() {
@@ -272,9 +285,9 @@
 	}
 }
 
-// updatesSince returns the records from an offset on and the configuration if it is newer than a version. A large
-// configuration is included only on request. The header says where the store has the configuration.
-func (a *Sidecar) updatesSince(from, version uint64, document bool) (syncResponse, http.Header) {
+// updatesSince returns the records from an offset on and the configuration, as the query asks for it. The header says where
+// the store has the configuration.
+func (a *Sidecar) updatesSince(from uint64, q documentQuery) (syncResponse, http.Header) {
 	a.applyMu.Lock()
 	defer a.applyMu.Unlock()
 	n := syncResponse{End: a.registrar.View().End, Age: -1, Version: a.version()}
@@ -284,12 +297,12 @@
 	if n.End > from {
 		n.Entries = a.registrar.EntriesSince(from)
 	}
-	if c := a.current.Load(); c != nil && c.version > version && (document || len(c.document) <= maxSyncedDocument) {
-		n.Document = c.document
-	}
 	header := http.Header{}
-	if c := a.current.Load(); c != nil && c.offset != 0 {
-		header.Set(offsetField, strconv.FormatUint(c.offset, 10))
+	if c := a.current.Load(); c != nil {
+		n.Document = a.documentFor(c, q, header)
+		if c.offset != 0 {
+			header.Set(offsetField, strconv.FormatUint(c.offset, 10))
+		}
 	}
 	return n, header
 }
--- a/sidecar/transfer.go
+++ b/sidecar/transfer.go
@@ -14,17 +14,11 @@
 
 // boundTransfer returns a context for an exchange whose response is large. It ends unless the first part of the body
 // arrives within a time, and each further one after a pause of maxTransferPause at most: a response that takes long on a
-// slow link isn't given up while it arrives. The second result is to be called for each part, and calls onProgress.
-func boundTransfer(
-	ctx context.Context, firstPart time.Duration, onProgress func(),
-) (context.Context, func(), context.CancelFunc) {
+// slow link isn't given up while it arrives. The second result is to be called for each part.
+func boundTransfer(ctx context.Context, firstPart time.Duration) (context.Context, func(), context.CancelFunc) {
 	ctx, cancel := context.WithTimeout(ctx, firstPart+maxTransferTime)
 	stalled := time.AfterFunc(firstPart, cancel)
-	progress := func() {
-		stalled.Reset(maxTransferPause)
-		onProgress()
-	}
-	return ctx, progress, func() {
+	return ctx, func() { stalled.Reset(maxTransferPause) }, func() {
 		stalled.Stop()
 		cancel()
 	}
