carrier: answers without end leave memory for others

An operator of a similar system reported a faulty server whose answers without end filled the memory of the process that had called it; the requests of other callers there ended with it.

Cause: the first MiB of each body took nothing from the budget, and a claimed length took that much before a byte had arrived. Change: 64 KiB are free, memory grows with what has arrived, and a body may hold four times what is left of the budget. The largest single answer on such a machine is about 18 MB now, before 24 MB.

--- a/carrier/endless_test.go
+++ b/carrier/endless_test.go
@@ -3,8 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"net"
 	"net/http"
+	"runtime"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -39,8 +42,10 @@
 	if _, err := http.ReadRequest(r); err != nil {
 		return
 	}
-	for text := head; ; text = repeated {
-		n, err := c.Write([]byte(text))
+	// The bytes are made once, since some tests measure the heap.
+	next := []byte(repeated)
+	for text := []byte(head); ; text = next {
+		n, err := c.Write(text)
 		written.Add(int64(n))
 		if err != nil {
 			return
@@ -101,3 +106,84 @@
 	// Each body may take 1 MiB beside the budget. Socket buffers take some more.
 	require.Less(t, written.Load(), int64(16*8<<20))
 }
+
+// Memory of the smallest machine, and what package sidecar makes of it.
+const (
+	machineBytes = 184 << 20
+	budgetBytes  = machineBytes / 8
+	softLimit    = machineBytes * 7 / 10
+)
+
+// heapPeak returns a function that ends the observation of the heap and returns its largest size.
+func heapPeak() func() uint64 {
+	var peak atomic.Uint64
+	stop, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		var m runtime.MemStats
+		for {
+			runtime.ReadMemStats(&m)
+			peak.Store(max(peak.Load(), m.HeapAlloc))
+			select {
+			case <-stop:
+				return
+			case <-time.After(2 * time.Millisecond):
+			}
+		}
+	}()
+	return func() uint64 {
+		close(stop)
+		<-ended
+		return peak.Load()
+	}
+}
+
+// TestEndlessResponsesTakeHalfTheMachine guards against a hundred responses without end that fill the memory of a small
+// machine, also while they stay below the size from which a response counts, and against sound responses that fail beside
+// them.
+func TestEndlessResponsesTakeHalfTheMachine(t *testing.T) {
+	sound, _ := startScriptedServer(t, func(c net.Conn, r *bufio.Reader, _ *atomic.Int32) {
+		defer c.Close()
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: a\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", 90_000, strings.Repeat("x", 90_000))
+	})
+	for _, form := range []string{"body", "chunks", "long body", "field"} {
+		t.Run(form, func(t *testing.T) {
+			endless := endlessResponses[form]
+			var written atomic.Int64
+			faulty, _ := startScriptedServer(t, func(c net.Conn, r *bufio.Reader, _ *atomic.Int32) {
+				writeEndlessly(c, r, endless.head, endless.repeated, &written)
+			})
+			pool := carrier.NewPool(carrier.PoolConfig{
+				ConnectTimeout: 5 * time.Second, IdleTimeout: time.Minute, MaxIdle: 4, MaxBody: 64 << 20,
+				Budget: carrier.NewBudget(budgetBytes),
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+			defer cancel()
+			runtime.GC()
+			defer debug.SetMemoryLimit(debug.SetMemoryLimit(softLimit))
+			peak := heapPeak()
+			var group sync.WaitGroup
+			for range 100 {
+				group.Go(func() {
+					_, err := pool.Exchange(ctx, faulty, newRequest("a"))
+					require.Error(t, err)
+				})
+			}
+			for range 20 {
+				group.Go(func() {
+					r, err := pool.Exchange(ctx, sound, newRequest("a"))
+					require.NoError(t, err)
+					require.Len(t, r.Body, 90_000)
+				})
+			}
+			group.Wait()
+			require.NoError(t, ctx.Err())
+			size := peak()
+			t.Logf("%d MB of heap at most", size>>20)
+			require.Less(t, size>>20, uint64(machineBytes/2>>20), "MB of heap")
+		})
+	}
+}
--- a/carrier/limit.go
+++ b/carrier/limit.go
@@ -51,6 +51,24 @@
 	return false
 }
 
+// fairShare is how many times the bytes that are left of a budget one body may hold. The bodies of a faulty server then
+// leave some for others, however many there are.
+const fairShare = 4
+
+// reserveFair takes a number of bytes for a body that holds some already, and reports whether they were available. The body
+// may hold no more than fairShare times what is left then. A nil budget is unlimited.
+func (b *Budget) reserveFair(held, bytes int) bool {
+	if b == nil {
+		return true
+	}
+	used := b.used.Add(int64(bytes))
+	if int64(held+bytes) <= fairShare*(b.limit-used) {
+		return true
+	}
+	b.release(bytes)
+	return false
+}
+
 // available reports whether a number of bytes could be reserved now. A nil budget is unlimited.
 func (b *Budget) available(bytes int) bool { return b == nil || b.used.Load()+int64(bytes) <= b.limit }
 
--- a/carrier/pool.go
+++ b/carrier/pool.go
@@ -310,7 +310,9 @@
 	maxResponseHeaderBytes = 64 << 10
 	// unbudgetedBodyBytes is the size up to which a response body takes nothing from the Budget, so that small responses
 	// are read also while a faulty server fills the budget.
-	unbudgetedBodyBytes = 1 << 20
+	unbudgetedBodyBytes = 64 << 10
+	// firstBodyBytes is the first size of the memory for a body. The length that a server claims takes none.
+	firstBodyBytes = 4 << 10
 )
 
 // maxResponses bounds the responses that are read for one request, including interim ones (1xx) and those to other
@@ -350,22 +352,19 @@
 
 func (x *exchange) readBody(h *http.Response) ([]byte, error) {
 	x.conn.limited.remaining = 2*int64(x.pool.config.MaxBody) + readBuffer
-	size := int64(512)
-	if h.ContentLength > 0 {
-		size = min(h.ContentLength, unbudgetedBodyBytes)
-	}
-	body := make([]byte, 0, size)
+	body := make([]byte, 0, firstBodyBytes)
 	reserved := 0
 	defer func() { x.pool.config.Budget.release(reserved) }()
 	for {
 		if len(body) == cap(body) {
-			body = append(body, 0)[:len(body)]
-			if more := cap(body) - unbudgetedBodyBytes - reserved; more > 0 {
-				if !x.pool.config.Budget.reserve(more) {
+			size := grownSize(cap(body), h.ContentLength)
+			if more := size - unbudgetedBodyBytes - reserved; more > 0 {
+				if !x.pool.config.Budget.reserveFair(reserved, more) {
 					return nil, errors.Wrap(ErrMalformedResponse, "large responses exceed the memory for them")
 				}
 				reserved += more
 			}
+			body = append(make([]byte, 0, size), body...)
 		}
 		n, err := h.Body.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
--- a/carrier/read.go
+++ b/carrier/read.go
@@ -100,11 +100,11 @@
 	for {
 		c.setReadDeadline(time.Now().Add(limits.HeaderTimeout))
 		if len(body) == cap(body) {
-			grown := growBody(body, h.ContentLength)
-			if !c.server.config.Budget.reserve(cap(grown) - reserved) {
+			size := grownSize(cap(body), h.ContentLength)
+			if !c.server.config.Budget.reserve(size - reserved) {
 				return nil, reserved, c.server.refuseBody(h.Header)
 			}
-			body, reserved = grown, cap(grown)
+			body, reserved = append(make([]byte, 0, size), body...), size
 		}
 		n, err := h.Body.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
@@ -127,14 +127,13 @@
 // maxBodyGrowth is the factor by which the memory of a body grows at most at once.
 const maxBodyGrowth = 4
 
-// growBody returns the body with more room: for the rest of its length if that is known and not much larger than what
-// has arrived, or else twice as much.
-func growBody(body []byte, length int64) []byte {
-	size := 2 * cap(body)
-	if rest := int(length) + 1; length > 0 && rest > cap(body) && rest <= maxBodyGrowth*cap(body) {
-		size = rest
-	}
-	return append(make([]byte, 0, size), body...)
+// grownSize returns the next size of the memory of a body: room for the rest of its length if that is known and not much
+// larger than what has arrived, or else twice as much.
+func grownSize(size int, length int64) int {
+	if rest := int(length) + 1; length > 0 && rest > size && rest <= maxBodyGrowth*size {
+		return rest
+	}
+	return 2 * size
 }
 
 func (s *Server) refuseBody(h http.Header) *Response {
