daemon: a late announcement doesn't reopen a server that is being left

Requests were admitted for up to a second more than the bound of 3 s after a drain, in the product's own form.

Change: announcements to an incarnation that is leaving have no effect. The server's next incarnation joins once it has left.

The new case of TestDrainingServer forces that order.

--- a/daemon/local.go
+++ b/daemon/local.go
@@ -138,6 +138,10 @@
 		d.join(a)
 	case current.backend.Service != a.Service || current.backend.Address != a.Address || current.backend.Fenced != a.Fenced:
 		d.resign(current, "backend server announced another service, address or fencing mode")
+	case current.leaving.Load():
+		// The announcement was sent before the server began to leave, or the server has changed its mind. Its next
+		// incarnation joins once this one has left.
+		d.log("state", "announcement ignored", "member", current.id, "reason", "the incarnation is leaving")
 	default:
 		current.dispatcher.SetBackend(a.Address, a.Slots, a.Connections)
 	}
--- a/launcher/leaving_test.go
+++ b/launcher/leaving_test.go
@@ -34,6 +34,14 @@
 			require.NoError(tf, n.Server.Change(func(s *emulator.ServerSettings) { s.HealthLags = true }))
 			tf.setLogOutage(emulator.Refuse)
 		},
+		// The change of the settings makes the server announce that it is active. The pause lets it send that, and the
+		// announcement arrives when the fault ends, after the drain was noticed.
+		"active announcement held back, health lags, log down": func(tf *testFleet, n *Node) {
+			n.BlackholeAnnouncements(true)
+			require.NoError(tf, n.Server.Change(func(s *emulator.ServerSettings) { s.HealthLags = true }))
+			tf.setLogOutage(emulator.Refuse)
+			time.Sleep(50 * time.Millisecond)
+		},
 	} {
 		for _, service := range []string{fenced, unkeyed} {
 			t.Run(name+" "+service, func(t *testing.T) {
