forwarder, sidecar: lines for routes that aren't found tell how current the configuration is

It has the age of the confirmation and the newest version that others have now; the line of a new configuration tells how long the process had lacked it. No logic is changed.

--- a/delegator/announced.go
+++ b/delegator/announced.go
@@ -17,6 +17,14 @@
 	Since time.Duration
 }
 
+// LackedFor returns how long this process has lacked the configuration, or zero if there is none.
+func (a Announcement) LackedFor(now time.Duration) time.Duration {
+	if a.Version == 0 {
+		return 0
+	}
+	return now - a.Since
+}
+
 // Announced tracks the newest configuration that other processes have. It is safe for concurrent use. The zero value
 // knows of none.
 type Announced struct {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -38,6 +38,8 @@
 	// Limit returns the time by which a request must be answered, and whether it may be passed on at all, given its
 	// deadline and the average service time of its service, which is zero if it is unknown. Nil means the deadline.
 	Limit func(deadline, serviceTime time.Duration) (time.Duration, bool)
+	// Freshness returns how current the routes are. Nil means that nothing is known of newer ones.
+	Freshness func() Freshness
 	// Refresh is called when a member refuses a key that the view assigns to it.
 	Refresh func(member string)
 	// Observe is called at the end of each request.
@@ -104,6 +106,9 @@
 	if c.OnSenderLeft == nil {
 		c.OnSenderLeft = func(watcher.Departure) {}
 	}
+	if c.Freshness == nil {
+		c.Freshness = func() Freshness { return Freshness{CompleteAt: timer.Now()} }
+	}
 	return &Forwarder{
 		config: c, services: map[string]*serviceState{},
 		successLog: rate.NewLimiter(successLogRate, successLogRate),
@@ -197,7 +202,7 @@
 	if !found {
 		r := carrier.NewResponse(http.StatusNotFound, "no route")
 		platform.SetRequestID(r.Header, call.ID)
-		f.logRequest(call.ID, Summary{Status: r.Status}, routes.Version, "", "no_route")
+		f.logNoRoute(call.ID, q, routes.Version)
 		return r
 	}
 	p := f.newRequest(q, call, m, routes.Version)
@@ -276,11 +281,11 @@
 	p.forwarder.logRequest(p.job.ID, Summary{
 		Rank: p.match.Rank, Service: p.match.Service.Name, Status: response.Status, Outcome: r.Outcome, Reason: r.Reason,
 		Elapsed: timer.Now() - p.job.Request.Received, Waited: p.job.Request.Waited, Sends: p.sends,
-	}, p.version, p.lastMember, "")
+	}, p.version, p.lastMember)
 	return response
 }
 
-func (f *Forwarder) logRequest(id string, s Summary, version uint64, member, note string) {
+func (f *Forwarder) logRequest(id string, s Summary, version uint64, member string) {
 	if f.config.Observe != nil {
 		f.config.Observe(s)
 	}
@@ -290,7 +295,18 @@
 	_ = f.config.Logger.Log("event", "request", "id", id, "rank", s.Rank, "service", s.Service, "status", s.Status,
 		"outcome", s.Outcome, "reason", s.Reason, "member", member, "sends", s.Sends, "ms", s.Elapsed.Milliseconds(),
 		"waited_ms", s.Waited.Milliseconds(),
-		"configuration", version, "records", f.recordsEnd(), "note", note)
+		"configuration", version, "records", f.recordsEnd())
+}
+
+// logNoRoute logs a request without a route, with what decides whether there may be one in a newer configuration.
+func (f *Forwarder) logNoRoute(id string, q *carrier.Request, version uint64) {
+	if f.config.Observe != nil {
+		f.config.Observe(Summary{Status: http.StatusNotFound})
+	}
+	fresh := f.config.Freshness()
+	_ = f.config.Logger.Log("event", "request", "id", id, "status", http.StatusNotFound, "note", "no_route",
+		"configuration", version, "newer", fresh.Newer, "complete", fresh.CompleteAt != 0,
+		"age_ms", (q.Received - fresh.CompleteAt).Milliseconds(), "ms", (timer.Now() - q.Received).Milliseconds())
 }
 
 // Unsent reports whether an error guarantees that no byte of the request was sent.
--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"hibiscusline/delegator"
+	"hibiscusline/forwarder"
 	"hibiscusline/matcher"
 	"hibiscusline/platform"
 	"hibiscusline/registrar"
@@ -38,11 +39,13 @@
 	if current := a.current.Load(); current != nil && current.version >= c.Version {
 		return true
 	}
+	lag, _ := a.announced.Behind(a.version())
 	a.announced.Applied(timer.Now(), c.Version)
 	a.current.Store(&configuration{version: c.Version, document: document, offset: offset})
 	a.documents.add(c.Version, document)
 	a.forwarder.SetRoutes(matcher.New(c, rand.Uint64()))
-	_ = a.logger.Log("event", "configuration", "version", c.Version, "source", source, "routes", len(c.Routes))
+	_ = a.logger.Log("event", "configuration", "version", c.Version, "source", source, "routes", len(c.Routes),
+		"announced", lag.Version, "announced_ms", lag.LackedFor(timer.Now()).Milliseconds())
 	if len(c.Unrecognized) > 0 {
 		_ = a.logger.Log("event", "configuration_unrecognized", "version", c.Version, "count", len(c.Unrecognized), "first", c.Unrecognized[0])
 	}
@@ -51,6 +54,20 @@
 	return true
 }
 
+// freshness returns how current the loaded configuration is. The age is read before the caller looks at the routes, which are
+// replaced before a newer confirmation.
+func (a *Sidecar) freshness() forwarder.Freshness {
+	var f forwarder.Freshness
+	now := timer.Now()
+	if age, confirmed := a.configurationAge.Confirmed(now); confirmed && !a.configurationUnreadable.Load() {
+		f.CompleteAt = now - age
+	}
+	if lag, behind := a.announced.Behind(a.version()); behind {
+		f.Newer = lag.Version
+	}
+	return f
+}
+
 // observeVersion records the configuration of another sidecar.
 func (a *Sidecar) observeVersion(version, offset uint64, source netip.AddrPort) {
 	if version <= a.version() {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -191,7 +191,7 @@
 		Member: s.Name, Zone: s.Zone, Service: s.Service, View: a.registrar.View, Local: a.executor, Peers: a.peers,
 		Logger: a.logger, TransparentRetries: a.retryBudget(transparentRetryShare), Retries: a.retryBudget(retryShare),
 		Seed:    rand.Uint64(),
-		Observe: a.metrics.request, Limit: a.limitToGrace, Refresh: a.refreshFrom,
+		Observe: a.metrics.request, Limit: a.limitToGrace, Refresh: a.refreshFrom, Freshness: a.freshness,
 		OnSenderLeft: func(d watcher.Departure) { a.metrics.senderLeft("entry", d) },
 	})
 	a.callerServer = carrier.NewServer(carrier.ServerConfig{
