forwarder, carrier, sidecar: only a process whose configuration is current gives a final refusal

Cause: Handle answered 404 from whatever configuration was loaded, though the process knew that others have a newer one, or that the store had confirmed its own longer ago than a new one may take to be in force. The limits on requests (413, 431) were applied in the same way.

Change: a 404 needs a configuration that was complete not longer than bounds.configuration before the request came, and no announcement of a newer one. Otherwise it gets 503 with Retry-After; limits that may be out of date refuse with 503 as well. If the confirmation is older than the bound, no version that must be in force can be missing from it: it counts to a time on this process's clock before the request, and routes are replaced before it grows.

The soak takes such a 503 for a version that isn't in force, as it did a 404: the check is as strict as before.

--- a/carrier/read.go
+++ b/carrier/read.go
@@ -30,16 +30,16 @@
 	c.setReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	h, err := http.ReadRequest(c.reader)
 	if err != nil {
-		return nil, c.readError(err, http.StatusRequestHeaderFieldsTooLarge)
+		return nil, c.readError(err, func() *Response { return c.server.refuseHeader(limits, http.Header{}) })
 	}
 	if headerSize(h) > limits.HeaderBytes {
-		return nil, NewResponse(http.StatusRequestHeaderFieldsTooLarge, "request header too large")
+		return nil, c.server.refuseHeader(limits, h.Header)
 	}
 	if problem := validateRequest(h); problem != "" {
 		return nil, NewResponse(http.StatusBadRequest, problem)
 	}
 	if h.ContentLength > int64(limits.BodyBytes) {
-		return nil, NewResponse(http.StatusRequestEntityTooLarge, "request body too large")
+		return nil, c.server.refuseLargeBody(limits, h.Header)
 	}
 	body, reserved, failure := c.readBody(h, limits)
 	if failure != nil {
@@ -109,13 +109,13 @@
 		n, err := h.Body.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		if len(body) > limits.BodyBytes {
-			return nil, reserved, NewResponse(http.StatusRequestEntityTooLarge, "request body too large")
+			return nil, reserved, c.server.refuseLargeBody(limits, h.Header)
 		}
 		if err == io.EOF {
 			return body, reserved, nil
 		}
 		if err != nil {
-			failure := c.readError(err, http.StatusRequestEntityTooLarge)
+			failure := c.readError(err, func() *Response { return c.server.refuseLargeBody(limits, h.Header) })
 			if failure == nil {
 				failure = &Response{Abort: true}
 			}
@@ -136,6 +136,22 @@
 	return 2 * size
 }
 
+// refuseHeader returns the response to a request whose header exceeds the limit.
+func (s *Server) refuseHeader(limits Limits, h http.Header) *Response {
+	if limits.Provisional {
+		return s.refuseBody(h)
+	}
+	return NewResponse(http.StatusRequestHeaderFieldsTooLarge, "request header too large")
+}
+
+// refuseLargeBody returns the response to a request whose body exceeds the limit.
+func (s *Server) refuseLargeBody(limits Limits, h http.Header) *Response {
+	if limits.Provisional {
+		return s.refuseBody(h)
+	}
+	return NewResponse(http.StatusRequestEntityTooLarge, "request body too large")
+}
+
 func (s *Server) refuseBody(h http.Header) *Response {
 	if s.config.RefuseBody != nil {
 		return s.config.RefuseBody(h)
@@ -143,12 +159,12 @@
 	return NewResponse(http.StatusServiceUnavailable, "too many large requests")
 }
 
-// readError returns the response to a request that couldn't be read, or nil if the caller has disconnected. The
-// tooLarge status is for a request that exceeds the limit.
-func (c *conn) readError(err error, tooLarge int) *Response {
+// readError returns the response to a request that couldn't be read, or nil if the caller has disconnected. For a request that
+// exceeds the limit it is that of tooLarge.
+func (c *conn) readError(err error, tooLarge func() *Response) *Response {
 	switch {
 	case c.limited.limitReached:
-		return NewResponse(tooLarge, "request too large")
+		return tooLarge()
 	case c.limited.timedOut:
 		return NewResponse(http.StatusRequestTimeout, "request not received in time")
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, syscall.ECONNRESET):
--- a/carrier/server.go
+++ b/carrier/server.go
@@ -23,6 +23,8 @@
 	HeaderTimeout time.Duration
 	// IdleTimeout bounds the time that a connection may stay open without a request.
 	IdleTimeout time.Duration
+	// Provisional means that newer limits may be in force already, so that a larger request is refused for now and not for good.
+	Provisional bool
 }
 
 // Handler handles one request. The context ends when the caller's connection does. A nil response aborts the
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -38,8 +38,10 @@
 	// Limit returns the time by which a request must be answered, and whether it may be passed on at all, given its
 	// deadline and the average service time of its service, which is zero if it is unknown. Nil means the deadline.
 	Limit func(deadline, serviceTime time.Duration) (time.Duration, bool)
-	// Freshness returns how current the routes are. Nil means that nothing is known of newer ones.
+	// Freshness returns how current the routes are. Nil means that there are no newer ones.
 	Freshness func() Freshness
+	// MaxAge is how long after its publication a configuration must be in force.
+	MaxAge time.Duration
 	// Refresh is called when a member refuses a key that the view assigns to it.
 	Refresh func(member string)
 	// Observe is called at the end of each request.
@@ -194,18 +196,11 @@
 // Handle forwards a caller's request and returns the response.
 func (f *Forwarder) Handle(ctx context.Context, q *carrier.Request) *carrier.Response {
 	call := platform.DecodeRequestHeader(q.Header)
-	routes := f.routes.Load()
-	if routes == nil {
-		return unavailable(call.ID, notReadyRetryAfter, "no configuration yet")
-	}
-	m, found := routes.Find(q.Host, q.Target)
-	if !found {
-		r := carrier.NewResponse(http.StatusNotFound, "no route")
-		platform.SetRequestID(r.Header, call.ID)
-		f.logNoRoute(call.ID, q, routes.Version)
-		return r
+	l := f.findRoute(ctx, q, call.Timeout)
+	if !l.found {
+		return f.refuseUnrouted(q, call.ID, l)
 	}
-	p := f.newRequest(q, call, m, routes.Version)
+	p := f.newRequest(q, call, l.match, l.version)
 	if f.config.Limit != nil {
 		limit, allowed := f.config.Limit(p.job.Deadline, p.service.serviceTime())
 		if !allowed {
@@ -298,17 +293,6 @@
 		"configuration", version, "records", f.recordsEnd())
 }
 
-// logNoRoute logs a request without a route, with what decides whether there may be one in a newer configuration.
-func (f *Forwarder) logNoRoute(id string, q *carrier.Request, version uint64) {
-	if f.config.Observe != nil {
-		f.config.Observe(Summary{Status: http.StatusNotFound})
-	}
-	fresh := f.config.Freshness()
-	_ = f.config.Logger.Log("event", "request", "id", id, "status", http.StatusNotFound, "note", "no_route",
-		"configuration", version, "newer", fresh.Newer, "complete", fresh.CompleteAt != 0,
-		"age_ms", (q.Received - fresh.CompleteAt).Milliseconds(), "ms", (timer.Now() - q.Received).Milliseconds())
-}
-
 // Unsent reports whether an error guarantees that no byte of the request was sent.
 func Unsent(err error) bool {
 	var failed *carrier.ExchangeError
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -32,6 +32,8 @@
 	executor  *executor.Executor
 	permitted atomic.Bool
 	requests  atomic.Int32
+	// newer is the version of a configuration that others have.
+	newer atomic.Uint64
 }
 
 // newFixture returns a fixture whose server responds with a function.
@@ -73,6 +75,9 @@
 		Logger:             log.NewNopLogger(),
 		Peers:              forwarder.NewPeers(forwarder.PeersConfig{OnChange: func(netip.AddrPort, bool, time.Duration) {}}),
 		TransparentRetries: retrier.Config{Share: 1, Burst: 10}, Retries: retrier.Config{Share: 1, Burst: 10},
+		Freshness: func() forwarder.Freshness {
+			return forwarder.Freshness{CompleteAt: timer.Now(), Newer: f.newer.Load()}
+		},
 	})
 	f.forwarder.SetRoutes(matcher.New(matcher.Configuration{
 		Services: map[string]matcher.Service{"stock": {Name: "stock", Keyed: keyed}},
@@ -183,6 +188,48 @@
 	require.Zero(t, f.requests.Load())
 }
 
+// TestNoRouteYet guards against a 404, after which callers give up, while a newer configuration may have the route, and against
+// a request that isn't held for one that is on its way.
+func TestNoRouteYet(t *testing.T) {
+	const maxAge = 2 * time.Second
+	now := timer.Now()
+	for name, c := range map[string]struct {
+		fresh  forwarder.Freshness
+		status int
+	}{
+		"current":                 {forwarder.Freshness{CompleteAt: now}, http.StatusNotFound},
+		"confirmed ago":           {forwarder.Freshness{CompleteAt: now - maxAge/2}, http.StatusNotFound},
+		"too long ago":            {forwarder.Freshness{CompleteAt: now - 2*maxAge}, http.StatusServiceUnavailable},
+		"unconfirmed":             {forwarder.Freshness{}, http.StatusServiceUnavailable},
+		"others have a newer one": {forwarder.Freshness{CompleteAt: now, Newer: 9}, http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := forwarder.New(forwarder.Config{
+				Logger: log.NewNopLogger(), MaxAge: maxAge, Freshness: func() forwarder.Freshness { return c.fresh },
+			})
+			f.SetRoutes(matcher.New(matcher.Configuration{Version: 7}, 0))
+			q := &carrier.Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, Received: now}
+			r := f.Handle(context.Background(), q)
+			require.Equal(t, c.status, r.Status)
+			require.Equal(t, c.status != http.StatusNotFound, r.Header.Get("Retry-After") != "")
+			require.Equal(t, c.status == http.StatusNotFound, f.Current(now))
+		})
+	}
+}
+
+// TestNewRouteIsAwaited guards against a refusal while the configuration with the route arrives.
+func TestNewRouteIsAwaited(t *testing.T) {
+	f := newFixture(t, matcher.Idempotent, true, func(w http.ResponseWriter, _ *http.Request) { simulator.Sign(w) })
+	table := f.forwarder.Routes()
+	f.forwarder.SetRoutes(matcher.New(matcher.Configuration{Version: 1}, 0))
+	f.newer.Store(2)
+	time.AfterFunc(60*time.Millisecond, func() {
+		table.Version = 2
+		f.forwarder.SetRoutes(table)
+	})
+	require.Equal(t, http.StatusOK, f.send("a").Status)
+}
+
 // TestBusyLinkIsRemembered guards against repeated requests to a member whose link is saturated, since each refusal
 // takes more of that link, and against callers that are called back before the link has room.
 func TestBusyLinkIsRemembered(t *testing.T) {
--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -54,8 +54,7 @@
 	return true
 }
 
-// freshness returns how current the loaded configuration is. The age is read before the caller looks at the routes, which are
-// replaced before a newer confirmation.
+// freshness returns how current the loaded configuration is.
 func (a *Sidecar) freshness() forwarder.Freshness {
 	var f forwarder.Freshness
 	now := timer.Now()
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -191,7 +191,8 @@
 		Member: s.Name, Zone: s.Zone, Service: s.Service, View: a.registrar.View, Local: a.executor, Peers: a.peers,
 		Logger: a.logger, TransparentRetries: a.retryBudget(transparentRetryShare), Retries: a.retryBudget(retryShare),
 		Seed:    rand.Uint64(),
-		Observe: a.metrics.request, Limit: a.limitToGrace, Refresh: a.refreshFrom, Freshness: a.freshness,
+		Observe: a.metrics.request, Limit: a.limitToGrace, Refresh: a.refreshFrom,
+		Freshness: a.freshness, MaxAge: bounds.Configuration,
 		OnSenderLeft: func(d watcher.Departure) { a.metrics.senderLeft("entry", d) },
 	})
 	a.callerServer = carrier.NewServer(carrier.ServerConfig{
@@ -246,6 +247,7 @@
 // defaultLimits apply until a configuration is loaded.
 var defaultLimits = carrier.Limits{
 	HeaderBytes: 16 << 10, BodyBytes: 64 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second,
+	Provisional: true,
 }
 
 func (a *Sidecar) limits() carrier.Limits {
@@ -253,7 +255,11 @@
 	if routes == nil || routes.Limits.HeaderBytes == 0 {
 		return defaultLimits
 	}
-	return carrier.Limits(routes.Limits)
+	l := routes.Limits
+	return carrier.Limits{
+		HeaderBytes: l.HeaderBytes, BodyBytes: l.BodyBytes, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout,
+		Provisional: !a.forwarder.Current(timer.Now()),
+	}
 }
 
 // peerHeaderBytes is the space for header fields that other sidecars add to a caller's header.
--- a/soaker/configuration.go
+++ b/soaker/configuration.go
@@ -5,9 +5,11 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
+	"hibiscusline/forwarder"
 	"hibiscusline/loader"
 	"hibiscusline/platform/simulator"
 	"hibiscusline/timer"
@@ -40,6 +42,7 @@
 type lateVersion struct {
 	version int
 	node    *node
+	status  int
 }
 
 // probe is a request for the route that only the newest version has.
@@ -96,25 +99,28 @@
 	return p
 }
 
-// check checks the status of the response to a probe. A probe says nothing if the process was started again or the next
+// check checks the response to a probe. A probe says nothing if the process was started again or the next
 // version was published before the response.
-func (c *configurations) check(p probe, status int) {
+//
+// A process that refuses the request since its configuration may be out of date doesn't have the version either.
+func (c *configurations) check(p probe, r simulator.Response) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.version != p.version || p.node.currentLifetime() != p.lifetime {
 		return
 	}
 	due := p.inTouch && p.age > c.bound
-	switch status {
-	case http.StatusOK:
+	unsure := r.Status == http.StatusServiceUnavailable && strings.Contains(r.Body, forwarder.UnsureText)
+	switch {
+	case r.Status == http.StatusOK:
 		c.served[p.node] = servedVersion{p.version, p.lifetime}
-	case http.StatusNotFound:
+	case r.Status == http.StatusNotFound, unsure:
 		if c.served[p.node] == (servedVersion{p.version, p.lifetime}) {
-			c.regressed = append(c.regressed, fmt.Sprintf("%s got status 404 at %s at %s, after the same process had served it",
-				route(p.version), p.node.settings.Name, p.sent.Format(clockFormat)))
+			c.regressed = append(c.regressed, fmt.Sprintf("%s got status %d at %s at %s, after the same process had served it",
+				route(p.version), r.Status, p.node.settings.Name, p.sent.Format(clockFormat)))
 		}
 		if due {
-			k := lateVersion{p.version, p.node}
+			k := lateVersion{p.version, p.node, r.Status}
 			c.late[k] = max(c.late[k], p.age)
 		}
 	default:
@@ -130,8 +136,8 @@
 	defer c.mu.Unlock()
 	problems := slices.Clone(c.regressed)
 	for k, age := range c.late {
-		problems = append(problems, fmt.Sprintf("%s got status 404 at %s %v after its acknowledgement, which allows %v in touch",
-			route(k.version), k.node.settings.Name, age.Round(time.Millisecond), c.bound))
+		problems = append(problems, fmt.Sprintf("%s got status %d at %s %v after its acknowledgement, which allows %v in touch",
+			route(k.version), k.status, k.node.settings.Name, age.Round(time.Millisecond), c.bound))
 	}
 	slices.Sort(problems)
 	return problems
@@ -153,7 +159,7 @@
 	for timer.Sleep(ctx, probeInterval) {
 		p := s.configurations.newProbe(n, &s.touch)
 		r := s.caller.Send(n.settings.Listen, http.MethodGet, route(p.version)+"x", simulator.NoKey)
-		s.configurations.check(p, r.Status)
+		s.configurations.check(p, r)
 		if r.Status != http.StatusNotFound {
 			s.record(r, false)
 		}
--- a/soaker/configuration_test.go
+++ b/soaker/configuration_test.go
@@ -7,8 +7,13 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"hibiscusline/forwarder"
+	"hibiscusline/platform/simulator"
 )
 
+func answer(status int) simulator.Response { return simulator.Response{Status: status} }
+
 // TestConfigurationProblems guards against a late or withdrawn configuration that the soak doesn't report, and against a
 // report about a process that isn't in touch.
 func TestConfigurationProblems(t *testing.T) {
@@ -19,68 +24,72 @@
 	}
 	for _, test := range []struct {
 		name string
-		// run lets time pass after a version was published at a process in touch, and returns the status of a response.
-		run      func(c *configurations, f *touch, n *node) int
+		// run lets time pass after a version was published at a process in touch, and returns a response.
+		run      func(c *configurations, f *touch, n *node) simulator.Response
 		problems []string
 	}{
-		{"late", func(*configurations, *touch, *node) int {
+		{"late", func(*configurations, *touch, *node) simulator.Response {
 			time.Sleep(2100 * time.Millisecond)
-			return http.StatusNotFound
+			return answer(http.StatusNotFound)
 		}, []string{"/version-1/ got status 404 at n 2.1s after its acknowledgement, which allows 2s in touch"}},
-		{"within the bound", func(*configurations, *touch, *node) int {
+		{"within the bound", func(*configurations, *touch, *node) simulator.Response {
 			time.Sleep(2 * time.Second)
-			return http.StatusNotFound
+			return answer(http.StatusNotFound)
 		}, nil},
-		{"refused", func(*configurations, *touch, *node) int {
+		{"refused", func(*configurations, *touch, *node) simulator.Response {
 			time.Sleep(10 * time.Second)
-			return http.StatusServiceUnavailable
+			return answer(http.StatusServiceUnavailable)
 		}, nil},
-		{"store was faulty", func(_ *configurations, f *touch, _ *node) int {
+		{"refused as out of date", func(*configurations, *touch, *node) simulator.Response {
+			time.Sleep(2100 * time.Millisecond)
+			return simulator.Response{Status: http.StatusServiceUnavailable, Body: forwarder.UnsureText + "\n"}
+		}, []string{"/version-1/ got status 503 at n 2.1s after its acknowledgement, which allows 2s in touch"}},
+		{"store was faulty", func(_ *configurations, f *touch, _ *node) simulator.Response {
 			f.begin(nil)
 			f.end(nil)
 			time.Sleep(stableWindow - time.Millisecond)
-			return http.StatusNotFound
+			return answer(http.StatusNotFound)
 		}, nil},
-		{"late after a fault of the store", func(_ *configurations, f *touch, _ *node) int {
+		{"late after a fault of the store", func(_ *configurations, f *touch, _ *node) simulator.Response {
 			f.begin(nil)
 			f.end(nil)
 			time.Sleep(stableWindow)
-			return http.StatusNotFound
+			return answer(http.StatusNotFound)
 		}, []string{"/version-1/ got status 404 at n 3s after its acknowledgement, which allows 2s in touch"}},
-		{"within the bound after a fault of the store", func(c *configurations, f *touch, _ *node) int {
+		{"within the bound after a fault of the store", func(c *configurations, f *touch, _ *node) simulator.Response {
 			f.begin(nil)
 			f.end(nil)
 			time.Sleep(stableWindow)
 			publish(c)
 			time.Sleep(2 * time.Second)
-			return http.StatusNotFound
+			return answer(http.StatusNotFound)
 		}, nil},
-		{"one of two faults has ended", func(_ *configurations, f *touch, n *node) int {
+		{"one of two faults has ended", func(_ *configurations, f *touch, n *node) simulator.Response {
 			f.begin(n)
 			f.begin(n)
 			f.end(n)
 			time.Sleep(10 * time.Second)
-			return http.StatusNotFound
+			return answer(http.StatusNotFound)
 		}, nil},
-		{"fault of another process", func(_ *configurations, f *touch, _ *node) int {
+		{"fault of another process", func(_ *configurations, f *touch, _ *node) simulator.Response {
 			f.begin(&node{})
 			time.Sleep(2100 * time.Millisecond)
-			return http.StatusNotFound
+			return answer(http.StatusNotFound)
 		}, []string{"/version-1/ got status 404 at n 2.1s after its acknowledgement, which allows 2s in touch"}},
-		{"next version", func(c *configurations, _ *touch, _ *node) int {
+		{"next version", func(c *configurations, _ *touch, _ *node) simulator.Response {
 			time.Sleep(2100 * time.Millisecond)
 			publish(c)
-			return http.StatusNotFound
+			return answer(http.StatusNotFound)
 		}, nil},
-		{"went back", func(c *configurations, f *touch, n *node) int {
-			c.check(c.newProbe(n, f), http.StatusOK)
+		{"went back", func(c *configurations, f *touch, n *node) simulator.Response {
+			c.check(c.newProbe(n, f), answer(http.StatusOK))
 			f.begin(n)
-			return http.StatusNotFound
+			return answer(http.StatusNotFound)
 		}, []string{"/version-1/ got status 404 at n at 00:00:00.000, after the same process had served it"}},
-		{"started again", func(c *configurations, f *touch, n *node) int {
-			c.check(c.newProbe(n, f), http.StatusOK)
+		{"started again", func(c *configurations, f *touch, n *node) simulator.Response {
+			c.check(c.newProbe(n, f), answer(http.StatusOK))
 			n.lifetime++
-			return http.StatusNotFound
+			return answer(http.StatusNotFound)
 		}, nil},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -88,8 +97,8 @@
 				c, f, n := newConfigurations(), &touch{}, &node{}
 				n.settings.Name = "n"
 				publish(c)
-				status := test.run(c, f, n)
-				c.check(c.newProbe(n, f), status)
+				r := test.run(c, f, n)
+				c.check(c.newProbe(n, f), r)
 				require.Equal(t, test.problems, c.problems())
 			})
 		})
@@ -106,10 +115,10 @@
 		time.Sleep(10 * time.Second)
 		p := c.newProbe(n, f)
 		n.lifetime++
-		c.check(p, http.StatusNotFound)
+		c.check(p, answer(http.StatusNotFound))
 		p = c.newProbe(n, f)
 		publish()
-		c.check(p, http.StatusNotFound)
+		c.check(p, answer(http.StatusNotFound))
 		require.Empty(t, c.problems())
 	})
 }
