quarantiner, executor, forwarder, sidecar: poison requests are recognized on the platform as well

Cause: package quarantiner served only the product's own form (daemon, dispatcher). On the platform's request path nobody counted the crashes under a request, so each copy of it crashed one server more.

Change: one Tracker serves both forms. The executor marks the requests that were in flight when its server crashed: their connections broke, its address refuses connections, and it hadn't announced that it leaves. Marks go back to the entry with the result, with each later attempt, and to all processes in the header of the sync requests and responses that they exchange anyway, so a process that starts again learns them. No call to the store. On the platform a request runs alone after two crashes and is refused after three of which one happened while it was alone: 503, poison, with Retry-After for the rest of the refusal. The platform's rule allows three crashes; running each request alone that was in flight at one crash would empty a server for each. The product keeps its two.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -160,7 +160,7 @@
 			}
 		}
 	})
-	d.config.State.View(func(s *applier.State) { d.suspects.merge(s.Suspects) })
+	d.config.State.View(func(s *applier.State) { d.suspects.Merge(timer.Now(), s.Suspects) })
 	d.ownership.pruneTakeOverWaits(waits)
 	for epoch, wait := range waits {
 		d.ownership.inTakeOverWait(epoch, wait)
@@ -252,7 +252,7 @@
 		settle = func(runResult) {}
 	}
 	fingerprint := fingerprintOf(j.head)
-	verdict := d.suspects.verdict(fingerprint, j.head.Crashes)
+	verdict := d.suspects.Verdict(timer.Now(), fingerprint, j.head.Crashes)
 	if verdict == quarantiner.Refuse {
 		settle(runResult{})
 		return d.refuse(j, encoder.Poison)
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -9,6 +9,7 @@
 
 	"hibiscusline/applier"
 	"hibiscusline/encoder"
+	"hibiscusline/quarantiner"
 	"hibiscusline/timer"
 )
 
@@ -32,7 +33,7 @@
 func (d *Dispatcher) run(ctx context.Context, j *job, sink Sink, settle func(runResult), fingerprint uint64, release func(bool)) error {
 	token := d.parents.add(Parent{Rank: j.head.Rank, Deadline: j.deadline})
 	defer d.parents.remove(token)
-	running := d.suspects.start(fingerprint)
+	running := d.suspects.Start(fingerprint)
 	d.mu.Lock()
 	address := d.address
 	d.mu.Unlock()
@@ -58,8 +59,8 @@
 )
 
 // handleFenced handles a backend server's refusal of an old epoch.
-func (d *Dispatcher) handleFenced(j *job, notRun bool, settle func(runResult), r runningRequest, release func(bool)) error {
-	d.suspects.cancel(r)
+func (d *Dispatcher) handleFenced(j *job, notRun bool, settle func(runResult), r quarantiner.Running, release func(bool)) error {
+	d.suspects.Cancel(r)
 	release(false)
 	if notRun {
 		settle(runResult{})
@@ -70,8 +71,8 @@
 }
 
 // finishRun records a completed request and reports the suspects that it clears.
-func (d *Dispatcher) finishRun(r runningRequest) {
-	cleared := d.suspects.finish(r)
+func (d *Dispatcher) finishRun(r quarantiner.Running) {
+	cleared := d.suspects.Finish(timer.Now(), r)
 	if len(cleared) == 0 {
 		return
 	}
@@ -90,10 +91,10 @@
 }
 
 // handleFailedCall handles a call without a response: the server crashed, the connection broke, or the deadline passed.
-func (d *Dispatcher) handleFailedCall(ctx context.Context, j *job, x callResult, settle func(runResult), r runningRequest, release func(bool)) error {
+func (d *Dispatcher) handleFailedCall(ctx context.Context, j *job, x callResult, settle func(runResult), r quarantiner.Running, release func(bool)) error {
 	defer release(false)
 	if d.abandoned.Err() != nil {
-		d.suspects.cancel(r)
+		d.suspects.Cancel(r)
 		settle(runResult{dispatched: x.connected})
 		if !x.connected {
 			return d.refuse(j, encoder.BackendLost)
@@ -101,12 +102,12 @@
 		return d.respond(j, encoder.Response{Outcome: encoder.Unknown, Reason: encoder.BackendLost})
 	}
 	if x.malformed {
-		d.suspects.cancel(r)
+		d.suspects.Cancel(r)
 		settle(runResult{})
 		return d.refuse(j, encoder.BadRequest)
 	}
 	if ctx.Err() != nil {
-		d.suspects.cancel(r)
+		d.suspects.Cancel(r)
 		settle(runResult{dispatched: x.connected})
 		if !x.connected {
 			return d.refuse(j, encoder.DeadlineExceeded)
@@ -118,7 +119,7 @@
 	d.mu.Unlock()
 	refused := d.backend.refusesConnections(address)
 	if !x.connected {
-		d.suspects.cancel(r)
+		d.suspects.Cancel(r)
 		if refused {
 			d.backend.lost.Store(true)
 		}
@@ -131,10 +132,10 @@
 		reason = encoder.ServerCrashed
 		d.handleCrash(ctx, r)
 	} else {
-		d.suspects.cancel(r)
+		d.suspects.Cancel(r)
 	}
 	return d.respond(j, encoder.Response{
-		Outcome: encoder.Unknown, Reason: reason, Crashes: d.suspects.marks(r.fingerprint),
+		Outcome: encoder.Unknown, Reason: reason, Crashes: d.suspects.Marks(r.Fingerprint),
 	})
 }
 
--- a/dispatcher/suspects.go
+++ b/dispatcher/suspects.go
@@ -16,25 +16,16 @@
 // receives it then knows of the crash.
 const reportTimeout = 500 * time.Millisecond
 
-// suspects makes the quarantine of one backend server safe for concurrent use.
+// suspects is the quarantine of one backend server, whose crashes are reported to the log.
 type suspects struct {
-	mu         sync.Mutex
-	quarantine *quarantiner.Quarantiner
-	// crashes counts the crashes. The failure of a request that started before the last crash is no new crash.
-	crashes uint64
+	*quarantiner.Tracker
+	mu sync.Mutex
 	// reported is closed when the last crash is in the log.
 	reported chan struct{}
 }
 
-// runningRequest is a request that was sent to the backend server.
-type runningRequest struct {
-	fingerprint uint64
-	ticket      quarantiner.Ticket
-	crashes     uint64
-}
-
 func newSuspects(self applier.MemberID) *suspects {
-	return &suspects{quarantine: quarantiner.New(quarantiner.Config{Member: self}), reported: make(chan struct{})}
+	return &suspects{Tracker: quarantiner.NewTracker(quarantiner.Config{Member: self}), reported: make(chan struct{})}
 }
 
 func fingerprintOf(head encoder.Request) uint64 {
@@ -43,70 +34,26 @@
 	})
 }
 
-// verdict returns how a request may run, given the crashes that its entry process reported with it.
-func (s *suspects) verdict(fingerprint uint64, marks []applier.InFlightCrash) quarantiner.Verdict {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.quarantine.AddCrashMarks(timer.Now(), fingerprint, marks)
-	return s.quarantine.Check(fingerprint)
-}
-
-func (s *suspects) start(fingerprint uint64) runningRequest {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return runningRequest{fingerprint: fingerprint, ticket: s.quarantine.Start(fingerprint), crashes: s.crashes}
-}
-
-// finish records a completed request and returns the suspects that are cleared by now.
-func (s *suspects) finish(r runningRequest) []uint64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.quarantine.Finish(timer.Now(), r.ticket)
-	return s.quarantine.TakeCleared()
-}
-
-// cancel records a request that did not complete and that the backend server no longer runs.
-func (s *suspects) cancel(r runningRequest) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.quarantine.Cancel(r.ticket)
-}
-
 // crash records a crash, unless the request failed in a crash that is already recorded. It returns the record for the
 // log, whether there is one, and the channel that is closed when the crash is in the log.
-func (s *suspects) crash(r runningRequest) (applier.Suspect, bool, chan struct{}) {
+func (s *suspects) crash(r quarantiner.Running) (applier.Suspect, bool, chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if r.crashes != s.crashes {
+	record, isNew := s.Crash(timer.Now(), r)
+	if !isNew {
 		return applier.Suspect{}, false, s.reported
 	}
-	s.crashes++
 	s.reported = make(chan struct{})
-	record, suspected := s.quarantine.Crash(timer.Now())
+	suspected := len(record.Fingerprints) > 0
 	if !suspected {
 		close(s.reported)
 	}
 	return record, suspected, s.reported
 }
 
-func (s *suspects) marks(fingerprint uint64) []applier.InFlightCrash {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.quarantine.CrashMarks(fingerprint)
-}
-
-// merge merges the suspects of the state and ends expired suspicions.
-func (s *suspects) merge(counts []applier.SuspectCount) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := timer.Now()
-	s.quarantine.MergeSuspects(now, counts)
-	s.quarantine.Expire(now)
-}
-
 // handleCrash handles a request whose backend server crashed. It returns when the suspicion is in the log, after
 // reportTimeout, or when ctx ends.
-func (d *Dispatcher) handleCrash(ctx context.Context, r runningRequest) {
+func (d *Dispatcher) handleCrash(ctx context.Context, r quarantiner.Running) {
 	d.backend.lost.Store(true)
 	record, isNew, reported := d.suspects.crash(r)
 	if isNew {
--- a/executor/admit.go
+++ b/executor/admit.go
@@ -9,8 +9,8 @@
 	"hibiscusline/timer"
 )
 
-// enqueue queues a job for a slot. The returned channel receives the decision.
-func (g *Executor) enqueue(j *Job) (uint64, <-chan admitter.Action) {
+// enqueue queues a job for a slot, or for all slots if it must run alone. The returned channel receives the decision.
+func (g *Executor) enqueue(j *Job, alone bool) (uint64, <-chan admitter.Action) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := timer.Now()
@@ -19,7 +19,7 @@
 		g.queue.Step(now, admitter.Reconfigure{Ranks: g.ranks})
 	}
 	g.arrivals.record(now, j)
-	id, decided := g.queue.Add(now, admitter.Arrive{Rank: j.Rank, Deadline: j.Deadline})
+	id, decided := g.queue.Add(now, admitter.Arrive{Rank: j.Rank, Deadline: j.Deadline, Exclusive: alone})
 	g.scheduleTick()
 	return id, decided
 }
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -8,10 +8,13 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"golang.org/x/sync/singleflight"
 
 	"hibiscusline/admitter"
+	"hibiscusline/applier"
 	"hibiscusline/carrier"
 	"hibiscusline/platform"
+	"hibiscusline/quarantiner"
 	"hibiscusline/timer"
 	"hibiscusline/watcher"
 )
@@ -31,6 +34,10 @@
 	OnConnectionRefused func(instance string)
 	// OnKeyRefused is called when the server refuses a request for a key because it doesn't hold the key.
 	OnKeyRefused func(key uint16)
+	// Quarantine holds the requests that crash servers. Nil selects one of its own.
+	Quarantine *quarantiner.Tracker
+	// OnCrash is called when the server has crashed while it ran requests.
+	OnCrash func(applier.Suspect)
 	// OnSenderLeft is called for each job that isn't sent to the server because its sender has left.
 	OnSenderLeft func(watcher.Departure)
 }
@@ -50,6 +57,8 @@
 type Executor struct {
 	config Config
 	pool   *carrier.Pool
+	// dials shares one attempt to connect among the requests that a crash ends.
+	dials singleflight.Group
 
 	mu            sync.Mutex
 	server        Server
@@ -91,6 +100,12 @@
 	if c.OnKeyRefused == nil {
 		c.OnKeyRefused = func(uint16) {}
 	}
+	if c.Quarantine == nil {
+		c.Quarantine = quarantiner.NewTracker(quarantiner.Config{})
+	}
+	if c.OnCrash == nil {
+		c.OnCrash = func(applier.Suspect) {}
+	}
 	if c.OnSenderLeft == nil {
 		c.OnSenderLeft = func(watcher.Departure) {}
 	}
@@ -171,16 +186,21 @@
 }
 
 func (g *Executor) run(ctx context.Context, j *Job) Result {
+	start := timer.Now()
 	if r, refused := g.precheck(j); refused {
 		return r
 	}
+	verdict := g.config.Quarantine.Verdict(start, j.Fingerprint(), j.Crashes)
+	if verdict == quarantiner.Refuse {
+		return PoisonRefusal(g.config.Quarantine, j)
+	}
 	size := g.expectedResponseSize(j)
 	if r, refused := g.checkLink(j, size); refused {
 		return r
 	}
 	g.config.Link.reserve(size)
 	defer g.config.Link.reserve(-size)
-	id, decided := g.enqueue(j)
+	id, decided := g.enqueue(j, verdict == quarantiner.RunAlone)
 	if r, refused := g.awaitSlot(ctx, id, decided); refused {
 		return r
 	}
@@ -191,10 +211,16 @@
 		g.finish(id, false)
 		return r
 	}
+	if g.config.Quarantine.Verdict(started, j.Fingerprint(), nil) == quarantiner.Refuse {
+		g.finish(id, false)
+		return PoisonRefusal(g.config.Quarantine, j)
+	}
 	g.mu.Lock()
 	g.stall.Started(started)
 	g.mu.Unlock()
+	running := g.config.Quarantine.Start(j.Fingerprint())
 	r = g.send(ctx, j, server)
+	r.Crashes = g.settle(running, r, server)
 	g.mu.Lock()
 	g.stall.Ended(timer.Now(), r.Outcome == Answered || r.Reason == ServerRefused)
 	if r.Outcome == Answered && r.Response.Status < http.StatusBadRequest {
--- a/executor/job.go
+++ b/executor/job.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"hibiscusline/applier"
 	"hibiscusline/carrier"
 	"hibiscusline/timer"
 )
@@ -45,6 +46,7 @@
 	PeerUnreachable                  // peer_unreachable
 	ServerStalled                    // server_silent
 	LinkBusy                         // link_busy
+	Poison                           // poison
 	reasonCount
 )
 
@@ -69,6 +71,10 @@
 	Detached bool
 	// Resent means that the request was sent to the same member before.
 	Resent bool
+	// Crashes are the crashes of servers that count against the request, as far as its sender knows.
+	Crashes []applier.InFlightCrash
+	// fingerprint is the result of Fingerprint, or zero before its first call.
+	fingerprint uint64
 }
 
 // Load is the load of a backend server.
@@ -91,6 +97,10 @@
 	Load     Load
 	// Reached means that the server received the request, or may have, even if it refused to run it.
 	Reached bool
+	// Crashes are the crashes of servers that count against the request.
+	Crashes []applier.InFlightCrash
+	// connectionBroke means that the connection to the server broke after the request was sent.
+	connectionBroke bool
 }
 
 // Header fields of requests and responses between sidecars.
@@ -108,6 +118,7 @@
 	retryAfterField = "Hibiscus-Retry-After-Ms"
 	loadField       = "Hibiscus-Load"
 	reachedField    = "Hibiscus-Reached"
+	crashesField    = "Hibiscus-Crashes"
 )
 
 // EncodeJob returns the request that carries a job to another sidecar.
@@ -128,6 +139,7 @@
 	if j.Resent {
 		h[resentField] = []string{"1"}
 	}
+	encodeCrashes(h, j.Crashes)
 	q := *j.Request
 	q.Header = h
 	return &q
@@ -138,7 +150,7 @@
 func DecodeJob(q *carrier.Request) (*Job, error) {
 	h := q.Header
 	j := &Job{ID: h.Get(idField), Request: q, Service: h.Get(serviceField), Detached: h.Get(detachedField) != ""}
-	j.Resent = h.Get(resentField) != ""
+	j.Resent, j.Crashes = h.Get(resentField) != "", decodeCrashes(h)
 	parts := strings.SplitN(h.Get(rankField), " ", 3)
 	if len(parts) != 3 {
 		return nil, errors.New("missing rank")
@@ -196,6 +208,7 @@
 	if r.Reached {
 		h[reachedField] = []string{"1"}
 	}
+	encodeCrashes(h, r.Crashes)
 	l := r.Load
 	h[loadField] = []string{strconv.Itoa(l.Running) + " " + strconv.Itoa(l.Waiting) + " " + strconv.Itoa(l.Slots) + " " +
 		strconv.FormatInt(l.ServiceTime.Milliseconds(), 10) + " " + strconv.Itoa(int(l.Offered*offeredScale))}
@@ -222,7 +235,7 @@
 		}
 		r.RetryAfter = time.Duration(ms) * time.Millisecond
 	}
-	r.Load = decodeLoad(h.Get(loadField))
+	r.Load, r.Crashes = decodeLoad(h.Get(loadField)), decodeCrashes(h)
 	if r.Outcome == Answered {
 		StripFields(h)
 		r.Response = response
--- a/executor/send.go
+++ b/executor/send.go
@@ -61,10 +61,13 @@
 	switch {
 	case errors.Is(err, context.DeadlineExceeded):
 		r.Reason = DeadlinePassed
+		return r
 	case errors.Is(err, context.Canceled):
 		r.Reason = CallerDisconnected
+		return r
 	case errors.Is(err, carrier.ErrMalformedResponse):
 		r.Reason = MalformedResponse
 	}
+	r.connectionBroke = true
 	return r
 }
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -17,12 +17,15 @@
 	p.job.Resent = p.sends > 0 && p.wasTried(m.Name)
 	p.tried = append(p.tried, m.Name)
 	p.lastMember = m.Name
+	quarantine, fingerprint := p.forwarder.config.Quarantine, p.job.Fingerprint()
+	p.job.Crashes = quarantine.Marks(fingerprint)
 	id := memberID(m.Name)
 	start := timer.Now()
 	p.service.mu.Lock()
 	p.service.chooser.Started(id)
 	p.service.mu.Unlock()
 	r := p.send(ctx, m)
+	quarantine.Verdict(timer.Now(), fingerprint, r.Crashes)
 	p.service.mu.Lock()
 	defer p.service.mu.Unlock()
 	now := timer.Now()
@@ -55,6 +58,9 @@
 		return balancer.Abandoned
 	case r.Reason == executor.DeadlinePassed:
 		return balancer.Timeout
+	case r.Reason == executor.Poison:
+		// It says nothing about the member.
+		return balancer.Abandoned
 	case r.Outcome == executor.NotRun:
 		return balancer.Shed
 	}
@@ -107,7 +113,7 @@
 
 // shouldRetry reports whether the request may be forwarded to another member after a result.
 func (p *forwardedRequest) shouldRetry(ctx context.Context, r executor.Result) bool {
-	if ctx.Err() != nil || timer.Now() >= p.job.Deadline {
+	if ctx.Err() != nil || timer.Now() >= p.job.Deadline || r.Reason == executor.Poison {
 		return false
 	}
 	switch r.Outcome {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -16,6 +16,7 @@
 	"hibiscusline/executor"
 	"hibiscusline/matcher"
 	"hibiscusline/platform"
+	"hibiscusline/quarantiner"
 	"hibiscusline/registrar"
 	"hibiscusline/retrier"
 	"hibiscusline/timer"
@@ -35,6 +36,8 @@
 	// they call.
 	TransparentRetries, Retries retrier.Config
 	Seed                        uint64
+	// Quarantine holds the requests that crash servers. Nil selects one of its own.
+	Quarantine *quarantiner.Tracker
 	// Limit returns the time by which a request must be answered, and whether it may be passed on at all, given its
 	// deadline and the average service time of its service, which is zero if it is unknown. Nil means the deadline.
 	Limit func(deadline, serviceTime time.Duration) (time.Duration, bool)
@@ -105,6 +108,9 @@
 
 // New returns a Forwarder without routes. It responds with status 503 until SetRoutes is called.
 func New(c Config) *Forwarder {
+	if c.Quarantine == nil {
+		c.Quarantine = quarantiner.NewTracker(quarantiner.Config{})
+	}
 	if c.OnSenderLeft == nil {
 		c.OnSenderLeft = func(watcher.Departure) {}
 	}
--- a/forwarder/forwarding.go
+++ b/forwarder/forwarding.go
@@ -11,6 +11,7 @@
 	"hibiscusline/balancer"
 	"hibiscusline/executor"
 	"hibiscusline/matcher"
+	"hibiscusline/quarantiner"
 	"hibiscusline/registrar"
 	"hibiscusline/timer"
 )
@@ -53,6 +54,10 @@
 // forward forwards the request until it is answered or must be given up. If a server has answered it, that response is
 // returned even if a later attempt fails without one, since the request has run.
 func (p *forwardedRequest) forward(ctx context.Context) executor.Result {
+	quarantine := p.forwarder.config.Quarantine
+	if quarantine.Verdict(timer.Now(), p.job.Fingerprint(), nil) == quarantiner.Refuse {
+		return executor.PoisonRefusal(quarantine, p.job)
+	}
 	last := p.tryMembers(ctx)
 	if last.Outcome != executor.Answered && p.lastAnswered != nil {
 		return *p.lastAnswered
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -19,6 +19,8 @@
 	// MaxSuspects is the largest number of fingerprints in the table (default 4,096). It must exceed the number of
 	// suspects that the state lists (256).
 	MaxSuspects int
+	// CrowdCrashes is the number of crashes from which on a request runs alone (default 1).
+	CrowdCrashes int
 	// Expiry is the time without a crash after which a suspicion ends (default 10 minutes).
 	Expiry time.Duration
 }
@@ -44,6 +46,7 @@
 // New returns a Quarantiner without suspects.
 func New(config Config) *Quarantiner {
 	config.MaxSuspects = cmp.Or(config.MaxSuspects, 4096)
+	config.CrowdCrashes = cmp.Or(config.CrowdCrashes, 1)
 	config.Expiry = cmp.Or(config.Expiry, 10*time.Minute)
 	return &Quarantiner{config: config, inFlight: map[uint64]int{}, suspects: map[uint64]*suspect{}}
 }
@@ -51,11 +54,22 @@
 // Check returns whether a request may run, must run alone, or is refused.
 func (q *Quarantiner) Check(fingerprint uint64) Verdict {
 	if s := q.suspects[fingerprint]; s != nil {
-		return s.verdict()
+		return q.verdict(s)
 	}
 	return Run
 }
 
+func (q *Quarantiner) verdict(s *suspect) Verdict { return s.verdict(q.config.CrowdCrashes) }
+
+// refusedFor returns how long a refused request stays refused if no server crashes meanwhile, or zero.
+func (q *Quarantiner) refusedFor(now time.Duration, fingerprint uint64) time.Duration {
+	s := q.suspects[fingerprint]
+	if s == nil || q.verdict(s) != Refuse {
+		return 0
+	}
+	return max(s.changedAt+q.config.Expiry-now, 0)
+}
+
 // MayStart reports whether a request may start now, given the requests in flight: a suspect needs an idle server, and
 // no other request starts while a suspect is running.
 func (q *Quarantiner) MayStart(fingerprint uint64) bool {
@@ -169,7 +183,7 @@
 		}
 	}
 	for fingerprint, s := range q.suspects {
-		if len(s.logged) > 0 && !listed[fingerprint] && s.verdict() != Refuse {
+		if len(s.logged) > 0 && !listed[fingerprint] && q.verdict(s) != Refuse {
 			s.voidMarks(func(m applier.InFlightCrash) bool { return slices.Contains(s.logged, m.Crash) })
 			s.logged = nil
 		}
@@ -194,7 +208,7 @@
 			delete(q.suspects, fingerprint)
 			continue
 		}
-		s.expire(now)
+		s.expire(now, q.config.CrowdCrashes)
 	}
 }
 
@@ -213,8 +227,18 @@
 }
 
 func (q *Quarantiner) leastSevere() uint64 {
-	return slices.MinFunc(slices.Collect(maps.Keys(q.suspects)), func(a, b uint64) int {
-		x, y := q.suspects[a], q.suspects[b]
-		return cmp.Or(cmp.Compare(x.verdict(), y.verdict()), cmp.Compare(x.changedAt, y.changedAt), cmp.Compare(a, b))
-	})
+	return slices.MinFunc(slices.Collect(maps.Keys(q.suspects)), q.compare)
+}
+
+// mostSevere returns the fingerprints of all suspects, the most severe and newest first.
+func (q *Quarantiner) mostSevere() []uint64 {
+	list := slices.SortedFunc(maps.Keys(q.suspects), q.compare)
+	slices.Reverse(list)
+	return list
+}
+
+// compare compares the suspects of two fingerprints by severity, and those of the same severity by age.
+func (q *Quarantiner) compare(a, b uint64) int {
+	x, y := q.suspects[a], q.suspects[b]
+	return cmp.Or(cmp.Compare(q.verdict(x), q.verdict(y)), cmp.Compare(x.changedAt, y.changedAt), cmp.Compare(a, b))
 }
--- a/quarantiner/suspect.go
+++ b/quarantiner/suspect.go
@@ -42,12 +42,13 @@
 	changedAt time.Duration
 }
 
-func (s *suspect) verdict() Verdict {
+// verdict returns how the request may run, if it runs alone from a number of crashes on.
+func (s *suspect) verdict(crowdCrashes int) Verdict {
 	alone := slices.ContainsFunc(s.marks, func(m applier.InFlightCrash) bool { return m.Alone })
 	switch {
-	case alone && len(s.marks) > 1:
+	case alone && len(s.marks) > crowdCrashes:
 		return Refuse
-	case len(s.marks) > 0:
+	case len(s.marks) >= crowdCrashes:
 		return RunAlone
 	}
 	return Run
@@ -81,13 +82,16 @@
 	s.voided = s.voided[max(0, len(s.voided)-maxVoided):]
 }
 
-// expire ends a suspicion. A refusal becomes a suspicion with one mark that isn't alone, so that the request runs
-// alone next.
-func (s *suspect) expire(now time.Duration) {
+// expire ends a suspicion. A refusal becomes a suspicion with marks that aren't alone, so that the request runs alone next.
+func (s *suspect) expire(now time.Duration, crowdCrashes int) {
 	var kept []applier.InFlightCrash
-	if s.verdict() == Refuse {
-		kept = []applier.InFlightCrash{{Crash: s.marks[len(s.marks)-1].Crash}}
+	if s.verdict(crowdCrashes) == Refuse {
+		for _, m := range s.marks[max(len(s.marks)-crowdCrashes, 0):] {
+			kept = append(kept, applier.InFlightCrash{Crash: m.Crash})
+		}
 	}
-	s.voidMarks(func(m applier.InFlightCrash) bool { return len(kept) == 0 || m.Crash != kept[0].Crash })
+	s.voidMarks(func(m applier.InFlightCrash) bool {
+		return !slices.ContainsFunc(kept, func(k applier.InFlightCrash) bool { return k.Crash == m.Crash })
+	})
 	s.marks, s.changedAt = kept, now
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -13,6 +13,7 @@
 
 	"github.com/go-kit/log"
 
+	"hibiscusline/applier"
 	"hibiscusline/assigner"
 	"hibiscusline/carrier"
 	"hibiscusline/confirmer"
@@ -22,6 +23,7 @@
 	"hibiscusline/granter"
 	"hibiscusline/loader"
 	"hibiscusline/platform"
+	"hibiscusline/quarantiner"
 	"hibiscusline/registrar"
 	"hibiscusline/retrier"
 	"hibiscusline/timer"
@@ -54,6 +56,7 @@
 	forwarder    *forwarder.Forwarder
 	executor     *executor.Executor
 	link         *executor.Link
+	quarantine   *quarantiner.Tracker
 	callerServer *carrier.Server
 	peerServer   *carrier.Server
 	metrics      *meters
@@ -182,15 +185,20 @@
 	requests := carrier.NewBudget(s.MemoryMB << 20 / requestMemoryDivisor)
 	a.peers = forwarder.NewPeers(forwarder.PeersConfig{Probe: a.syncWith, OnChange: a.peerChanged, Budget: budget})
 	a.link = executor.NewLink(s.LinkMbps * bytesPerMegabit)
+	a.quarantine = quarantiner.NewTracker(quarantiner.Config{
+		// A process that starts again must not give the crashes of its server the ids that an earlier one has given.
+		Member: applier.MemberID(rand.Uint64()), CrowdCrashes: crowdCrashes,
+	})
 	a.executor = executor.New(executor.Config{
 		Backend: s.Backend, Logger: a.logger, Permits: a.permits,
 		OnConnectionRefused: a.handleConnectionRefused, OnKeyRefused: a.refuseKey, Link: a.link, Budget: budget,
+		Quarantine: a.quarantine, OnCrash: a.handleCrash,
 		OnSenderLeft: func(d watcher.Departure) { a.metrics.senderLeft("server", d) },
 	})
 	a.forwarder = forwarder.New(forwarder.Config{
 		Member: s.Name, Zone: s.Zone, Service: s.Service, View: a.registrar.View, Local: a.executor, Peers: a.peers,
 		Logger: a.logger, TransparentRetries: a.retryBudget(transparentRetryShare), Retries: a.retryBudget(retryShare),
-		Seed:    rand.Uint64(),
+		Seed: rand.Uint64(), Quarantine: a.quarantine,
 		Observe: a.metrics.request, Limit: a.limitToGrace, Refresh: a.refreshFrom,
 		Freshness: a.freshness, MaxAge: bounds.Configuration,
 		OnSenderLeft: func(d watcher.Departure) { a.metrics.senderLeft("entry", d) },
--- a/sidecar/sync.go
+++ b/sidecar/sync.go
@@ -52,6 +52,7 @@
 func (a *Sidecar) gossip(ctx context.Context) {
 	for timer.Sleep(ctx, gossipInterval+rand.N(gossipInterval/4)) {
 		a.checkConfigurationAge()
+		a.quarantine.Expire(timer.Now())
 		peer, found := a.randomPeer()
 		if !found {
 			continue
@@ -118,13 +119,16 @@
 		"document": {strconv.FormatBool(p.document)}, "patches": {"true"},
 	}
 	a.addReport(query)
+	header := http.Header{}
+	a.addSuspects(header)
 	r, err := a.peers.ExchangeUntracked(ctx, p.peer, p.bound, &carrier.Request{
-		Method: http.MethodGet, Target: syncPath + "?" + query.Encode(), Host: p.peer.String(), Header: http.Header{},
+		Method: http.MethodGet, Target: syncPath + "?" + query.Encode(), Host: p.peer.String(), Header: header,
 		OnProgress: p.onProgress,
 	})
 	if err != nil {
 		return -1, err
 	}
+	a.observeSuspects(r.Header)
 	var n syncResponse
 	if err := cbor.Unmarshal(r.Body, &n); err != nil {
 		return -1, errors.Wrap(err, "decode sync response")
@@ -239,6 +243,7 @@
 		return carrier.NewResponse(http.StatusBadRequest, "malformed query")
 	}
 	a.observeReport(query)
+	a.observeSuspects(q.Header)
 	a.awaitUpdates(ctx, from, version, min(time.Duration(wait)*time.Millisecond, maxSyncWait))
 	// Earlier releases don't send the parameter patches.
 	d := documentQuery{version: version, whole: document, patches: query.Get("patches") == "true"}
@@ -345,6 +350,7 @@
 		n.Entries = a.registrar.EntriesSince(from)
 	}
 	header := http.Header{}
+	a.addSuspects(header)
 	if c := a.current.Load(); c != nil {
 		if age, confirmed := a.configurationAge.Confirmed(now); confirmed && !a.configurationUnreadable.Load() {
 			header.Set(ageField, strconv.FormatInt(age.Microseconds(), 10))
