router, daemon: a service that records which a process lacks may have added isn't refused for good

It answers 503 not_ready then. TestUnknownServiceWhileBehind failed before (404 for 503); tests of router and daemon pass.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -54,6 +54,8 @@
 	readTrigger chan struct{}
 	// aheadPeers receives the peers that have applied a higher offset than this process.
 	aheadPeers chan aheadPeer
+	// announced is the highest offset that a peer has announced as applied.
+	announced atomic.Uint64
 	// lastHeard is the time of the last datagram from a peer, in nanoseconds since the start.
 	lastHeard     atomic.Int64
 	firstRetained atomic.Uint64
@@ -110,7 +112,8 @@
 	members := newChooser(c.Settings.Zone, chooserPolicy(c.Settings.Baseline.Chooser), d.loadReportOf)
 	members.registerGauges(d.metrics)
 	d.router = router.New(router.Config{
-		Follower: d.state, Exchanger: (*exchanger)(d), Chooser: members, RetryBudget: budgetFor(c.Settings.Baseline),
+		Follower: d.state, Announced: func() applier.Offset { return applier.Offset(d.announced.Load()) },
+		Exchanger: (*exchanger)(d), Chooser: members, RetryBudget: budgetFor(c.Settings.Baseline),
 		Backoff: newBackoff(), LookUpParent: d.parent, DefaultTimeout: c.Settings.Limits.DefaultTimeout,
 		MaxFailedResponses: maxFailedResponses(c.Settings.Baseline),
 		ReplayLimit:        c.Settings.Limits.ReplayLimit, MaxHeaderBytes: c.Settings.Limits.MaxHeaderBytes, Metrics: d.metrics,
--- a/daemon/streams.go
+++ b/daemon/streams.go
@@ -38,6 +38,7 @@
 		d.recordLoad(g.From, *g.Load)
 	}
 	if g.Applied > d.state.Applied() {
+		d.recordAnnounced(g.Applied)
 		select {
 		case d.aheadPeers <- aheadPeer{address: from, applied: g.Applied}:
 		default:
@@ -55,6 +56,16 @@
 	d.step(n, leaser.Received{From: g.From, Message: message})
 }
 
+// recordAnnounced records that a peer has applied the records up to an offset.
+func (d *Daemon) recordAnnounced(applied applier.Offset) {
+	for {
+		known := d.announced.Load()
+		if uint64(applied) <= known || d.announced.CompareAndSwap(known, uint64(applied)) {
+			return
+		}
+	}
+}
+
 // handleStream serves one stream that a peer opened.
 func (d *Daemon) handleStream(_ context.Context, stream *transporter.Stream) {
 	message, err := readFirstMessage(stream)
--- a/router/forward_test.go
+++ b/router/forward_test.go
@@ -126,6 +126,29 @@
 	}
 }
 
+// TestUnknownServiceWhileBehind guards against a final refusal of a service that records which this process lacks may have added.
+func TestUnknownServiceWhileBehind(t *testing.T) {
+	f := newTestFollower(t)
+	var announced applier.Offset
+	rt := New(Config{
+		Follower: f, Metrics: metrics.NewSet(), DefaultTimeout: time.Second, Announced: func() applier.Offset { return announced },
+	})
+	for _, c := range []struct {
+		announced applier.Offset
+		status    int
+	}{
+		{0, http.StatusNotFound}, {f.Applied(), http.StatusNotFound}, {f.Applied() + 1, http.StatusServiceUnavailable},
+	} {
+		announced = c.announced
+		request := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/items", nil)
+		request.Header.Set(HeaderService, "new")
+		response := httptest.NewRecorder()
+		rt.ServeHTTP(response, request)
+		require.Equal(t, c.status, response.Code)
+		require.Equal(t, encoder.NotRun.String(), response.Header().Get(HeaderOutcome))
+	}
+}
+
 // countingBudget allows a number of retries and counts the successful first attempts.
 type countingBudget struct{ retries, successes int }
 
--- a/router/parse.go
+++ b/router/parse.go
@@ -116,7 +116,9 @@
 	var service validator.Service
 	var rule validator.Rule
 	var present, matched bool
+	var applied applier.Offset
 	rt.config.Follower.View(func(s *applier.State) {
+		applied = s.Applied
 		if s.Configuration == nil {
 			return
 		}
@@ -127,7 +129,9 @@
 	if !rt.config.Follower.Ready() {
 		return newRequestError(encoder.NotReady, "this process has not read the configuration yet")
 	}
-	if !present || !matched {
+	if found := present && matched; !found && rt.config.Announced() > applied {
+		return newRequestError(encoder.NotReady, "this process lacks records that others have; they may add the service")
+	} else if !found {
 		return newRequestError(encoder.UnknownService, "")
 	}
 	c.head.Rank = rule.Rank
--- a/router/router.go
+++ b/router/router.go
@@ -56,7 +56,9 @@
 
 // Config configures a Router.
 type Config struct {
-	Follower    *follower.Follower
+	Follower *follower.Follower
+	// Announced returns the highest offset that another process has announced as applied. Nil means that there is none.
+	Announced   func() applier.Offset
 	Exchanger   Exchanger
 	Chooser     Chooser
 	RetryBudget RetryBudget
@@ -92,6 +94,9 @@
 	if c.MaxFailedResponses == 0 {
 		c.MaxFailedResponses = DefaultMaxFailedResponses
 	}
+	if c.Announced == nil {
+		c.Announced = func() applier.Offset { return 0 }
+	}
 	return &Router{config: c}
 }
 
