forwarder: a server that has started again gets its share little by little

Cause: the age of a member was that of its name since this process first chose among the members. A server that starts again beside the same process counted as warm, and all servers counted as cold to a process that has just started.

Change: the age is that of the incarnation; the servers that are known at the first choice are warm. A test shows that the forwarder keeps the retry budget, which none did (it passes on the code before as well).

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -96,7 +96,7 @@
 	chooser            *balancer.Chooser
 	transparentRetries *retrier.Budget
 	retries            *retrier.Budget
-	firstSeen          map[string]time.Duration
+	ages               serverAges
 	loads              map[string]reportedLoad
 	linkRefusals       linkRefusals
 }
@@ -138,7 +138,7 @@
 			chooser:            balancer.NewChooser(balancer.ChooserConfig{Seed: f.config.Seed, LocalZoneBias: sameZoneBias}),
 			transparentRetries: retrier.NewBudget(f.config.TransparentRetries),
 			retries:            retrier.NewBudget(f.config.Retries),
-			firstSeen:          map[string]time.Duration{}, loads: map[string]reportedLoad{},
+			ages:               serverAges{}, loads: map[string]reportedLoad{},
 			linkRefusals: linkRefusals{},
 		}
 		f.services[name] = s
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -36,6 +36,9 @@
 	newer atomic.Uint64
 }
 
+// fixtureRetries is the retry budget of a fixture.
+var fixtureRetries = retrier.Config{Share: 0.2, Burst: 10}
+
 // newFixture returns a fixture whose server responds with a function.
 func newFixture(t *testing.T, kind matcher.Kind, keyed bool, answer func(http.ResponseWriter, *http.Request)) *fixture {
 	t.Helper()
@@ -74,7 +77,7 @@
 		Member: "one", Service: "stock", View: func() *registrar.View { return view }, Local: f.executor,
 		Logger:             log.NewNopLogger(),
 		Peers:              forwarder.NewPeers(forwarder.PeersConfig{OnChange: func(netip.AddrPort, bool, time.Duration) {}}),
-		TransparentRetries: retrier.Config{Share: 1, Burst: 10}, Retries: retrier.Config{Share: 1, Burst: 10},
+		TransparentRetries: retrier.Config{Share: 1, Burst: 10}, Retries: fixtureRetries,
 		Freshness: func() forwarder.Freshness {
 			return forwarder.Freshness{CompleteAt: timer.Now(), Newer: f.newer.Load()}
 		},
@@ -188,6 +191,20 @@
 	require.Zero(t, f.requests.Load())
 }
 
+// TestRetryBudget guards against retries that multiply the requests to a service that fails.
+func TestRetryBudget(t *testing.T) {
+	f := newFixture(t, matcher.Idempotent, true, func(w http.ResponseWriter, _ *http.Request) {
+		simulator.Sign(w)
+		w.WriteHeader(http.StatusInternalServerError)
+	})
+	const requests = 200
+	for i := range requests {
+		require.Equal(t, http.StatusInternalServerError, f.send(strconv.Itoa(i)).Status)
+	}
+	require.LessOrEqual(t, f.requests.Load(), int32(requests*(1+fixtureRetries.Share)+fixtureRetries.Burst))
+	require.Greater(t, f.requests.Load(), int32(requests), "some are sent again")
+}
+
 // TestNoRouteYet guards against a 404, after which callers give up, while a newer configuration may have the route, and against
 // a request that isn't held for one that is on its way.
 func TestNoRouteYet(t *testing.T) {
--- a/forwarder/forwarding.go
+++ b/forwarder/forwarding.go
@@ -152,6 +152,7 @@
 	p.service.mu.Lock()
 	defer p.service.mu.Unlock()
 	v := p.forwarder.config.View()
+	p.service.ages.observe(now, v.ByService[p.match.Service.Name])
 	for _, m := range v.ByService[p.match.Service.Name] {
 		if m.State != registrar.Ready || m.Stopping || p.wasTried(m.Name) || p.forwarder.config.Peers.DownFor(m.Peer) > 0 {
 			continue
@@ -163,12 +164,7 @@
 			continue
 		}
 		c := balancer.Candidate{ID: memberID(m.Name), Zone: m.Zone, Slots: m.Slots}
-		seen, known := p.service.firstSeen[m.Name]
-		if !known {
-			seen = now
-			p.service.firstSeen[m.Name] = now
-		}
-		c.Age = now - seen
+		c.Age = p.service.ages.of(now, m.Name)
 		if l, known := p.service.loads[m.Name]; known {
 			c.ReportedInFlight, c.ReportAge = l.Running+l.Waiting, now-l.reportedAt
 		}
