quarantiner, registrar and others: plainer names and comments

CrowdCrashes is CrashesBeforeAlone; comments that said that processes hear, forget or are dead use the ordinary terms.

--- a/admitter/flood_test.go
+++ b/admitter/flood_test.go
@@ -212,7 +212,7 @@
 	}
 }
 
-// TestEqualUrgency guards against a rank that starves behind a flood of another rank of the same urgency, in whichever
+// TestEqualUrgency guards against a rank that gets no slots behind a flood of another rank of the same urgency, in whichever
 // order the ranks were met: routes that are added later have ranks of their own.
 func TestEqualUrgency(t *testing.T) {
 	const seconds = 22
--- a/daemon/silence_test.go
+++ b/daemon/silence_test.go
@@ -20,7 +20,7 @@
 	"hibiscusline/loader"
 )
 
-// TestLogIsReadAfterPeersFallSilent guards against a process that no longer hears from its peers and reads the log itself only
+// TestLogIsReadAfterPeersFallSilent guards against a process that receives nothing from its peers any more and reads the log itself only
 // when a new configuration should have been in force.
 func TestLogIsReadAfterPeersFallSilent(t *testing.T) {
 	const (
@@ -58,7 +58,7 @@
 		require.NoError(t, err)
 		require.EqualValues(t, members, d.state.Applied())
 		d.started, d.current = time.Now(), &incarnation{id: applier.MemberID(members - i)}
-		// The processes last hear from a peer at different times within a second.
+		// The processes receive the last message of a peer at different times within a second.
 		tests.Go(func() {
 			time.Sleep(time.Duration(i) * time.Second / tested)
 			d.lastHeard.Store(int64(time.Since(d.started)))
--- a/daemon/silentlog_test.go
+++ b/daemon/silentlog_test.go
@@ -111,7 +111,7 @@
 }
 
 // TestConfigurationDespiteReadersWithoutLog guards against a configuration that is never in force because the processes that
-// read the log for the others get no answers. The others hear from them and don't read the log.
+// read the log for the others get no answers. The others receive messages from them and don't read the log.
 func TestConfigurationDespiteReadersWithoutLog(t *testing.T) {
 	const cut = 3
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
--- a/daemon/state.go
+++ b/daemon/state.go
@@ -31,7 +31,7 @@
 }
 
 // redialReplaced makes the next message to a new member at a known address open a new connection. The connection to
-// the previous process there is dead, and messages sent on it are lost until a stateless reset arrives, which can take
+// the previous process there has ended, and messages sent on it are lost until a stateless reset arrives, which can take
 // 11 s.
 func (d *Daemon) redialReplaced() {
 	d.state.View(func(s *applier.State) {
--- a/executor/quarantine_test.go
+++ b/executor/quarantine_test.go
@@ -45,7 +45,7 @@
 
 // TestPoisonRequestIsRefused guards against a request that crashes one server after another, with another id each time.
 func TestPoisonRequestIsRefused(t *testing.T) {
-	quarantine := quarantiner.NewTracker(quarantiner.Config{CrowdCrashes: 2})
+	quarantine := quarantiner.NewTracker(quarantiner.Config{CrashesBeforeAlone: 2})
 	for _, id := range []string{"a", "b", "c"} {
 		s := newCrashingServer(t, quarantine)
 		r := s.executor.Run(context.Background(), newJob(id, time.Second))
--- a/granter/calls_test.go
+++ b/granter/calls_test.go
@@ -10,7 +10,7 @@
 	"hibiscusline/granter"
 )
 
-// newCallGranter returns a Granter by calls that started long ago and has heard its server.
+// newCallGranter returns a Granter by calls that started long ago and has received a heartbeat of its server.
 func newCallGranter(t *assigner.Table) *granter.Granter {
 	g := granter.New(granter.Config{
 		Member: "a", LeaseTerm: 12 * time.Second, HoldTime: 5 * time.Second, MaxHold: 10 * time.Second, ByCalls: true,
@@ -113,7 +113,7 @@
 }
 
 // TestDropGrantsInFlight guards against two holders of a key: a process takes its server to have ended while a grant is
-// in flight, and the server, which is alive, reports again. It may hold all that it was granted before.
+// in flight, and the server, which still runs, reports again. It may hold all that it was granted before.
 func TestDropGrantsInFlight(t *testing.T) {
 	g := newCallGranter(table())
 	grantAll(t, g, start)
--- a/granter/granter.go
+++ b/granter/granter.go
@@ -153,7 +153,7 @@
 	g.generation++
 	g.staleGrants = g.grantsInFlight
 	g.grantsEnd = 0
-	// The server may be alive, and hold what it was granted before, although it was taken to have ended.
+	// The server may still run, and hold what it was granted before, although it was taken to have ended.
 	g.earlierGrantsEnd = max(g.earlierGrantsEnd, g.lapseAt)
 }
 
--- a/quarantiner/doc.go
+++ b/quarantiner/doc.go
@@ -7,7 +7,7 @@
 // request was part of, it runs alone next and is not refused. So a request that happens to run beside several
 // different poison requests is never refused.
 //
-// Config.CrowdCrashes raises the number of crashes from which on a request runs alone, and with it the number of those that a
+// Config.CrashesBeforeAlone raises the number of crashes from which on a request runs alone, and with it the number of those that a
 // refusal needs, where running alone costs more than another crash.
 //
 // A poison request that is retried after each crash crashes at most two servers: the first crash makes it a suspect,
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -19,8 +19,8 @@
 	// MaxSuspects is the largest number of fingerprints in the table (default 4,096). It must exceed the number of
 	// suspects that the state lists (256).
 	MaxSuspects int
-	// CrowdCrashes is the number of crashes from which on a request runs alone (default 1).
-	CrowdCrashes int
+	// CrashesBeforeAlone is the number of crashes from which on a request runs alone (default 1).
+	CrashesBeforeAlone int
 	// Expiry is the time without a crash after which a suspicion ends (default 10 minutes).
 	Expiry time.Duration
 }
@@ -46,7 +46,7 @@
 // New returns a Quarantiner without suspects.
 func New(config Config) *Quarantiner {
 	config.MaxSuspects = cmp.Or(config.MaxSuspects, 4096)
-	config.CrowdCrashes = cmp.Or(config.CrowdCrashes, 1)
+	config.CrashesBeforeAlone = cmp.Or(config.CrashesBeforeAlone, 1)
 	config.Expiry = cmp.Or(config.Expiry, 10*time.Minute)
 	return &Quarantiner{config: config, inFlight: map[uint64]int{}, suspects: map[uint64]*suspect{}}
 }
@@ -59,7 +59,7 @@
 	return Run
 }
 
-func (q *Quarantiner) verdict(s *suspect) Verdict { return s.verdict(q.config.CrowdCrashes) }
+func (q *Quarantiner) verdict(s *suspect) Verdict { return s.verdict(q.config.CrashesBeforeAlone) }
 
 // refusedFor returns how long a refused request stays refused if no server crashes meanwhile, or zero.
 func (q *Quarantiner) refusedFor(now time.Duration, fingerprint uint64) time.Duration {
@@ -208,7 +208,7 @@
 			delete(q.suspects, fingerprint)
 			continue
 		}
-		s.expire(now, q.config.CrowdCrashes)
+		s.expire(now, q.config.CrashesBeforeAlone)
 	}
 }
 
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -17,7 +17,7 @@
 // poisonCount is the number of poison requests. Fingerprints up to it crash every server.
 const poisonCount = 2
 
-// requestCount is the number of all requests. Fingerprints above poisonCount are those of innocent ones.
+// requestCount is the number of all requests. Fingerprints above poisonCount crash no server.
 const requestCount = 7
 
 // process is a process with one server and its own position in the log.
@@ -31,7 +31,7 @@
 	voided map[uint64][]applier.InFlightCrash
 }
 
-// cluster is a set of processes that share a log, and callers that retry each request until it completes. Innocent
+// cluster is a set of processes that share a log, and callers that retry each request until it completes. Other
 // requests may also run on several servers at once.
 type cluster struct {
 	t         *rapid.T
@@ -41,8 +41,8 @@
 	// entryMarks holds the marks that the entry process of a request sends with it.
 	entryMarks map[uint64][]applier.InFlightCrash
 	crashes    map[uint64]int
-	// crowdCrashes is the number of crashes from which on a request runs alone.
-	crowdCrashes int
+	// crashesBeforeAlone is the number of crashes from which on a request runs alone.
+	crashesBeforeAlone int
 }
 
 func (c *cluster) process() *process { return rapid.SampledFrom(c.processes).Draw(c.t, "process") }
@@ -101,7 +101,7 @@
 
 func (c *cluster) crash(p *process, cause uint64) {
 	c.crashes[cause]++
-	require.LessOrEqual(c.t, c.crashes[cause], c.crowdCrashes+1, "servers lost to request %d", cause)
+	require.LessOrEqual(c.t, c.crashes[cause], c.crashesBeforeAlone+1, "servers lost to request %d", cause)
 	record, reported := p.Crash(c.clock)
 	require.True(c.t, reported)
 	require.Equal(c.t, slices.Sorted(maps.Keys(p.running)), record.Fingerprints)
@@ -128,19 +128,19 @@
 // than those after which it runs alone, and against the refusal of a request that runs beside poison requests, with reports
 // that are duplicated, delayed and received by several paths.
 func TestPoisonRequestCostsAtMostTwoServers(t *testing.T) {
-	for _, crowdCrashes := range []int{1, 2} {
-		t.Run(strconv.Itoa(crowdCrashes), func(t *testing.T) { testCostOfPoisonRequest(t, crowdCrashes) })
+	for _, crashesBeforeAlone := range []int{1, 2} {
+		t.Run(strconv.Itoa(crashesBeforeAlone), func(t *testing.T) { testCostOfPoisonRequest(t, crashesBeforeAlone) })
 	}
 }
 
-func testCostOfPoisonRequest(t *testing.T, crowdCrashes int) {
+func testCostOfPoisonRequest(t *testing.T, crashesBeforeAlone int) {
 	rapid.Check(t, func(t *rapid.T) {
 		c := &cluster{
-			t: t, entryMarks: map[uint64][]applier.InFlightCrash{}, crashes: map[uint64]int{}, crowdCrashes: crowdCrashes,
+			t: t, entryMarks: map[uint64][]applier.InFlightCrash{}, crashes: map[uint64]int{}, crashesBeforeAlone: crashesBeforeAlone,
 		}
 		for id := range 4 {
 			c.processes = append(c.processes, &process{
-				Quarantiner: New(Config{Member: applier.MemberID(id + 1), CrowdCrashes: crowdCrashes}), running: map[uint64]Ticket{},
+				Quarantiner: New(Config{Member: applier.MemberID(id + 1), CrashesBeforeAlone: crashesBeforeAlone}), running: map[uint64]Ticket{},
 				voided: map[uint64][]applier.InFlightCrash{},
 			})
 		}
@@ -209,7 +209,7 @@
 // TestReports guards against a suspect that other processes aren't told of: a new one, and one that doesn't run like other
 // requests. It also guards against reports without end of a request that was in flight at one crash.
 func TestReports(t *testing.T) {
-	reporter := NewTracker(Config{Member: 1, CrowdCrashes: 2})
+	reporter := NewTracker(Config{Member: 1, CrashesBeforeAlone: 2})
 	crash := func(fingerprints ...uint64) {
 		var last Running
 		for _, fingerprint := range fingerprints {
@@ -222,7 +222,7 @@
 	crash(1, 2)
 	crash(1)
 	crash(3, 4)
-	other := NewTracker(Config{Member: 2, CrowdCrashes: 2})
+	other := NewTracker(Config{Member: 2, CrashesBeforeAlone: 2})
 	other.AddReports(0, reporter.Reports(spreadTime))
 	for fingerprint, expected := range []Verdict{Run, Refuse, RunAlone, Run, Run} {
 		require.Equal(t, expected, other.Verdict(0, uint64(fingerprint), nil))
--- a/quarantiner/suspect.go
+++ b/quarantiner/suspect.go
@@ -43,12 +43,12 @@
 }
 
 // verdict returns how the request may run, if it runs alone from a number of crashes on.
-func (s *suspect) verdict(crowdCrashes int) Verdict {
+func (s *suspect) verdict(crashesBeforeAlone int) Verdict {
 	alone := slices.ContainsFunc(s.marks, func(m applier.InFlightCrash) bool { return m.Alone })
 	switch {
-	case alone && len(s.marks) > crowdCrashes:
+	case alone && len(s.marks) > crashesBeforeAlone:
 		return Refuse
-	case len(s.marks) >= crowdCrashes:
+	case len(s.marks) >= crashesBeforeAlone:
 		return RunAlone
 	}
 	return Run
@@ -83,10 +83,10 @@
 }
 
 // expire ends a suspicion. A refusal becomes a suspicion with marks that aren't alone, so that the request runs alone next.
-func (s *suspect) expire(now time.Duration, crowdCrashes int) {
+func (s *suspect) expire(now time.Duration, crashesBeforeAlone int) {
 	var kept []applier.InFlightCrash
-	if s.verdict(crowdCrashes) == Refuse {
-		for _, m := range s.marks[max(len(s.marks)-crowdCrashes, 0):] {
+	if s.verdict(crashesBeforeAlone) == Refuse {
+		for _, m := range s.marks[max(len(s.marks)-crashesBeforeAlone, 0):] {
 			kept = append(kept, applier.InFlightCrash{Crash: m.Crash})
 		}
 	}
--- a/registrar/leaving.go
+++ b/registrar/leaving.go
@@ -17,7 +17,7 @@
 	Incarnation assigner.Incarnation
 }
 
-// maxLeavings bounds the leavings that a process remembers, and those in one message. The oldest are forgotten first.
+// maxLeavings bounds the leavings that a process keeps, and those in one message. The oldest are dropped first.
 const maxLeavings = 1024
 
 // EncodeLeavings returns the encoded list, which must not have more than maxLeavings entries.
@@ -43,7 +43,7 @@
 	return list, nil
 }
 
-// AddLeavings remembers leavings that the store may not know, and returns those that are new. From then on, a record that
+// AddLeavings adds leavings that the store may not have, and returns those that are new. From then on, a record that
 // says that the server is ready counts as one that says that it is draining. It must not be called concurrently with
 // Apply.
 func (r *Registrar) AddLeavings(list []Leaving) []Leaving {
@@ -102,7 +102,7 @@
 	return m, found
 }
 
-// applyLeavings sets Members from the stored records and the leavings. It forgets the leavings of servers that have a
+// applyLeavings sets Members from the stored records and the leavings. It drops the leavings of servers that have a
 // successor. A record that says that the server has ended isn't enough, since a process may have taken it to have ended.
 func (v *View) applyLeavings() {
 	v.leavings = slices.DeleteFunc(slices.Clone(v.leavings), func(l Leaving) bool {
--- a/sidecar/leaving.go
+++ b/sidecar/leaving.go
@@ -186,7 +186,7 @@
 	return &carrier.Response{Status: http.StatusOK, Header: header, Body: data}
 }
 
-// addLeavings remembers leavings and applies them to the server of this sidecar.
+// addLeavings stores leavings and applies them to the server of this sidecar.
 func (a *Sidecar) addLeavings(list []registrar.Leaving, source string) {
 	a.applyMu.Lock()
 	defer a.applyMu.Unlock()
--- a/sidecar/publish.go
+++ b/sidecar/publish.go
@@ -192,7 +192,7 @@
 		if err != nil || after == nil {
 			return nil, err
 		}
-		// An empty record deletes the member. A sidecar that is alive after all publishes its record again.
+		// An empty record deletes the member. A sidecar that still runs publishes its record again.
 		for _, member := range assigner.SuspectsWithoutSlices(before, after) {
 			records = append(records, platform.Record{Key: registrar.MemberKey(member)})
 		}
--- a/sidecar/quarantine.go
+++ b/sidecar/quarantine.go
@@ -18,9 +18,9 @@
 // suspectsField is the field with the reports of suspects, in base64.
 const suspectsField = executor.FieldPrefix + "Suspects"
 
-// crowdCrashes is the number of crashes from which on a request runs alone. A server that works on other requests meanwhile
+// crashesBeforeAlone is the number of crashes from which on a request runs alone. A server that works on other requests meanwhile
 // must finish them first, which is too much for each request that was in flight at one crash.
-const crowdCrashes = 2
+const crashesBeforeAlone = 2
 
 // addSuspects sets the field with the suspects that others should know of.
 func (a *Sidecar) addSuspects(h http.Header) {
--- a/sidecar/reports.go
+++ b/sidecar/reports.go
@@ -42,7 +42,7 @@
 	}
 }
 
-// observeReport remembers the server in the query of another sidecar's sync request. Earlier releases don't send it.
+// observeReport stores the server in the query of another sidecar's sync request. Earlier releases don't send it.
 func (a *Sidecar) observeReport(query url.Values) {
 	incarnation, found := decodeIncarnation(query.Get(readyParameter))
 	members := a.registrar.View().Members
