--- a/sidecar/reads.go
+++ b/sidecar/reads.go
@@ -56,8 +56,9 @@
 	left time.Duration
 }
 
-// hedge returns when the read is repeated, if the latest answers took a time beyond their hold.
-func (r storeRead) hedge(latency time.Duration) hedger.Config {
+// hedge returns when a read is repeated.
+func (a *Sidecar) hedge(r storeRead) hedger.Config {
+	latency := a.latencies.estimate(r.topic)
 	if r.hold == (waiter.Hold{}) {
 		return r.promise.HedgeBy(r.left, latency)
 	}
@@ -78,7 +79,7 @@
 // readStore reads the store. It repeats a read that is overdue on a new connection, since its answer may have been lost.
 func (a *Sidecar) readStore(ctx context.Context, r storeRead) (storeAnswer, error) {
 	start := timer.Now()
-	config := r.hedge(time.Duration(a.storeLatency.Load()))
+	config := a.hedge(r)
 	config.OnOverdue = func(attempt int) {
 		a.store.CloseIdle()
 		a.logOverdueRead(r, attempt, start)
@@ -113,7 +114,7 @@
 	answer, err := a.sendRead(ctx, store, r)
 	if late := timer.Now() - start - r.hold.Duration(); err == nil && len(answer.entries) == 0 {
 		// Answers with records take longer on a slow link.
-		a.storeLatency.Store(int64(max(late, 0)))
+		a.latencies.record(r.topic, late)
 	}
 	if failed := new(carrier.ExchangeError); timer.Now()-start > r.hold.Duration() && errors.As(err, &failed) {
 		_ = a.logger.Log("event", "read_given_up", "topic", r.topic, "from", r.from, "attempt", attempt.Number,
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -84,8 +84,8 @@
 	// configurationUnreadable means that this process can't read the store's newest configuration. Others may be able to.
 	configurationUnreadable atomic.Bool
 	storeHealth             dependency
-	// storeLatency is how long after its hold, in nanoseconds, the latest answer without records came.
-	storeLatency atomic.Int64
+	// latencies are those of the store's answers without records.
+	latencies answerLatencies
 	// lastRefresh is the time of the latest refreshFrom.
 	lastRefresh atomic.Int64
 	// refreshing and releaseBusy limit refreshes requested by peers and releaseSlices to one at a time.
@@ -187,7 +187,7 @@
 	a.link = executor.NewLink(s.LinkMbps * bytesPerMegabit)
 	a.quarantine = quarantiner.NewTracker(quarantiner.Config{
 		// A process that starts again must not give the crashes of its server the ids that an earlier one has given.
-		Member: applier.MemberID(rand.Uint64()), CrowdCrashes: crowdCrashes,
+		Member: applier.MemberID(rand.Uint64()), CrashesBeforeAlone: crashesBeforeAlone,
 	})
 	a.executor = executor.New(executor.Config{
 		Backend: s.Backend, Logger: a.logger, Permits: a.permits,
