waiter, sidecar: a store that takes 2.5 s for an answer is read

A read after one without any answer, of the same topic, has four attempts now; the intervals stay, so a store that is back is asked as soon as before.

--- a/sidecar/latency.go
+++ b/sidecar/latency.go
@@ -10,6 +10,8 @@
 	mu sync.Mutex
 	// latest holds, by topic, the latest two.
 	latest map[string][2]time.Duration
+	// silent holds the topics whose latest read got no answer to any attempt.
+	silent map[string]bool
 }
 
 // record adds the latency of an answer.
@@ -29,3 +31,20 @@
 	defer l.mu.Unlock()
 	return min(l.latest[topic][0], l.latest[topic][1])
 }
+
+// setSilent records whether the latest read of a topic got no answer to any attempt.
+func (l *answerLatencies) setSilent(topic string, silent bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.silent == nil {
+		l.silent = map[string]bool{}
+	}
+	l.silent[topic] = silent
+}
+
+// isSilent reports whether the latest read of a topic got no answer to any attempt.
+func (l *answerLatencies) isSilent(topic string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.silent[topic]
+}
--- a/sidecar/reads.go
+++ b/sidecar/reads.go
@@ -59,6 +59,9 @@
 // hedge returns when a read is repeated.
 func (a *Sidecar) hedge(r storeRead) hedger.Config {
 	latency := a.latencies.estimate(r.topic)
+	if a.latencies.isSilent(r.topic) {
+		return r.promise.HedgeAfterSilence(r.hold, latency)
+	}
 	if r.hold == (waiter.Hold{}) {
 		return r.promise.HedgeBy(r.left, latency)
 	}
@@ -96,6 +99,7 @@
 		}
 		return answer, err
 	})
+	a.latencies.setSilent(r.topic, errors.Is(err, hedger.ErrUnanswered))
 	if answer.expired {
 		return storeAnswer{}, platform.ErrExpired
 	}
--- a/waiter/waiter.go
+++ b/waiter/waiter.go
@@ -50,8 +50,12 @@
 	maxSlowAnswer = 1500 * time.Millisecond
 )
 
-// attempts is the number of attempts of a read, and of processes that are asked for the same at once.
-const attempts = 2
+const (
+	// attempts is the number of attempts of a read, and of processes that are asked for the same at once.
+	attempts = 2
+	// attemptsAfterSilence is the number of attempts of a read after one that got no answer.
+	attemptsAfterSilence = 4
+)
 
 // Hold returns how long the other party may hold a read.
 func (p Promise) Hold() Hold { return Hold{p.share(holdShare)} }
@@ -89,6 +93,15 @@
 	return c
 }
 
+// HedgeAfterSilence returns what Hedge does, for a read after one that got no answer. The other party may take longer than all
+// attempts of one read. It is given that time by more attempts and not by longer intervals: it may as well have been away, and be
+// back.
+func (p Promise) HedgeAfterSilence(h Hold, latency time.Duration) hedger.Config {
+	c := p.Hedge(h, latency)
+	c.Attempts = attemptsAfterSilence
+	return c
+}
+
 // FallbackDelay returns how long a process that knows of news waits for its usual source before it asks other processes.
 func (p Promise) FallbackDelay() time.Duration { return p.share(fallbackShare) }
 
