quarantiner, executor, dispatcher: both forms probe a server in the same way after a broken connection

The executor looked for a crash with a single probe. The product's form has four in 45 ms, since a server may close its connections before its listener and one probe missed such crashes (docs/policy.md). Both call ProbeConnections now. TestListenerClosesLast fails with one probe and passes with four.

--- a/dispatcher/backend.go
+++ b/dispatcher/backend.go
@@ -14,6 +14,7 @@
 
 	"hibiscusline/applier"
 	"hibiscusline/encoder"
+	"hibiscusline/quarantiner"
 )
 
 // Headers of requests to the backend server.
@@ -144,27 +145,9 @@
 	return callResult{response: response, err: err, connected: connected.Load(), reused: reused.Load()}
 }
 
-// Probes after a broken connection. A crashing server may close its connections shortly before its listener. A single
-// probe missed such crashes, and the request then crashed one more server.
-const (
-	crashProbes        = 4
-	crashProbeInterval = 15 * time.Millisecond
-)
-
 // refusesConnections reports whether the server refuses a connection now or during the next probes.
 func (b *backend) refusesConnections(address netip.AddrPort) bool {
-	for i := range crashProbes {
-		if i > 0 {
-			time.Sleep(crashProbeInterval)
-		}
-		connection, err := net.DialTimeout("tcp", address.String(), crashProbeTimeout)
-		if err != nil {
-			return true
-		}
-		// No data was sent on the connection.
-		_ = connection.Close()
-	}
-	return false
+	return quarantiner.ProbeConnections(address, crashProbeTimeout) != nil
 }
 
 // BackendReachable reports whether the backend server accepts connections.
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -57,8 +57,8 @@
 type Executor struct {
 	config Config
 	pool   *carrier.Pool
-	// dials shares one attempt to connect among the requests that a crash ends.
-	dials singleflight.Group
+	// probes shares the attempts to connect among the requests that a crash ends.
+	probes singleflight.Group
 
 	mu            sync.Mutex
 	server        Server
--- a/executor/quarantine.go
+++ b/executor/quarantine.go
@@ -1,7 +1,6 @@
 package executor
 
 import (
-	"net"
 	"strconv"
 	"syscall"
 	"time"
@@ -68,18 +67,14 @@
 	g.config.OnCrash(record)
 }
 
-// crashDialTimeout bounds the attempt to connect to a server on whose connections requests have failed.
-const crashDialTimeout = 100 * time.Millisecond
+// crashProbeTimeout bounds each attempt to connect to a server on whose connections requests have failed.
+const crashProbeTimeout = 100 * time.Millisecond
 
 // refusesConnections reports whether nothing listens at the address of the server. A server that resets connections, because it
-// is full or has forgotten them, still does.
+// is full or has forgotten them, still does, and one that doesn't answer may be cut off.
 func (g *Executor) refusesConnections() bool {
-	_, err, _ := g.dials.Do("", func() (any, error) {
-		c, err := net.DialTimeout("tcp", g.config.Backend.String(), crashDialTimeout)
-		if err == nil {
-			_ = c.Close()
-		}
-		return nil, err
+	_, err, _ := g.probes.Do("", func() (any, error) {
+		return nil, quarantiner.ProbeConnections(g.config.Backend, crashProbeTimeout)
 	})
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
--- a/executor/quarantine_test.go
+++ b/executor/quarantine_test.go
@@ -64,6 +64,16 @@
 	require.Equal(t, executor.Unknown, s.executor.Run(context.Background(), other).Outcome, "other requests run")
 }
 
+// TestListenerClosesLast guards against a crash that isn't noticed because the server closes its connections before its listener.
+func TestListenerClosesLast(t *testing.T) {
+	s := newCrashingServer(t, nil)
+	s.server.Config.Handler = http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		time.AfterFunc(10*time.Millisecond, func() { _ = s.server.Config.Close() })
+		panic(http.ErrAbortHandler)
+	})
+	require.NotEmpty(t, s.executor.Run(context.Background(), newJob("a", time.Second)).Crashes)
+}
+
 // TestEndsThatAreNoCrashes guards against a suspicion against the requests of a server that resets connections, or that ends
 // after it has announced that it leaves.
 func TestEndsThatAreNoCrashes(t *testing.T) {
