--- a/executor/quarantine_test.go
+++ b/executor/quarantine_test.go
@@ -14,6 +14,7 @@
 
 	"hibiscusline/applier"
 	"hibiscusline/executor"
+	"hibiscusline/platform"
 	"hibiscusline/platform/simulator"
 	"hibiscusline/quarantiner"
 	"hibiscusline/timer"
@@ -122,7 +123,7 @@
 func TestFingerprint(t *testing.T) {
 	first := newJob("a", time.Second)
 	again := newJob("b", 3*time.Second)
-	again.Request.Header.Set("Caller-Service", "other")
+	platform.SetCallerService(again.Request.Header, "other")
 	require.Equal(t, first.Fingerprint(), again.Fingerprint())
 	body, target, key := newJob("c", time.Second), newJob("d", time.Second), newJob("e", time.Second)
 	body.Request.Body = []byte("x")
