--- a/executor/quarantine.go
+++ b/executor/quarantine.go
@@ -34,7 +34,7 @@
 	return quarantiner.Fingerprint(r)
 }
 
-// PoisonRefusal returns the refusal of a request that crashes servers, by the process that holds the quarantine.
+// PoisonRefusal returns the refusal of a request that a quarantine lists as one that crashes servers.
 func PoisonRefusal(t *quarantiner.Tracker, j *Job) Result {
 	return Result{
 		Outcome: NotRun, Reason: Poison, RetryAfter: t.RefusedFor(timer.Now(), j.Fingerprint()), Crashes: t.Marks(j.Fingerprint()),
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -25,6 +25,7 @@
 	p.service.chooser.Started(id)
 	p.service.mu.Unlock()
 	r := p.send(ctx, m)
+	// This process adopts the crashes that the result reports.
 	quarantine.Verdict(timer.Now(), fingerprint, r.Crashes)
 	p.service.mu.Lock()
 	defer p.service.mu.Unlock()
