--- a/executor/executor.go
+++ b/executor/executor.go
@@ -51,6 +51,10 @@
 	// RefuseFrom is the time from which a draining server gets no new requests, or zero. Requests for keys are refused
 	// from RefuseKeyedFrom on, since only this server can run them until its keys have moved.
 	RefuseFrom, RefuseKeyedFrom time.Duration
+	// ColdUntil is the time until which the server is cold, or zero, and ColdRate the number of requests per second that it
+	// tolerates until then.
+	ColdUntil time.Duration
+	ColdRate  float64
 }
 
 // Executor executes requests on one backend server. It is safe for concurrent use.
--- a/executor/job.go
+++ b/executor/job.go
@@ -84,6 +84,12 @@
 	ServiceTime time.Duration
 	// Offered is the offered load: the number of slots that the arriving requests need, as a share of Slots.
 	Offered float64
+	// ColdFor is how much longer the server stays cold, or zero, and ColdRoom the number of further requests that it may be
+	// sent now if it is.
+	ColdFor  time.Duration
+	ColdRoom float64
+	// Slowness is how long work takes at the server at present, as a multiple of the usual time, or zero if that is unknown.
+	Slowness float64
 }
 
 // Result is the result of a job.
@@ -211,7 +217,9 @@
 	encodeCrashes(h, r.Crashes)
 	l := r.Load
 	h[loadField] = []string{strconv.Itoa(l.Running) + " " + strconv.Itoa(l.Waiting) + " " + strconv.Itoa(l.Slots) + " " +
-		strconv.FormatInt(l.ServiceTime.Milliseconds(), 10) + " " + strconv.Itoa(int(l.Offered*offeredScale))}
+		strconv.FormatInt(l.ServiceTime.Milliseconds(), 10) + " " + strconv.Itoa(int(l.Offered*offeredScale)) + " " +
+		strconv.FormatInt(l.ColdFor.Milliseconds(), 10) + " " + strconv.Itoa(int(l.ColdRoom*offeredScale)) + " " +
+		strconv.Itoa(int(l.Slowness*offeredScale))}
 	return response
 }
 
@@ -248,11 +256,12 @@
 	return EncodeResult(Result{Outcome: NotRun, Reason: Overloaded, RetryAfter: defaultRetryAfter})
 }
 
-// offeredScale is the resolution at which Load.Offered is encoded, in steps per unit.
+// offeredScale is the resolution at which the fractions of a Load are encoded, in steps per unit.
 const offeredScale = 1000
 
 func decodeLoad(text string) Load {
-	var values [5]int
+	// Earlier releases send the first five.
+	var values [8]int
 	for i, part := range strings.Fields(text) {
 		if v, err := strconv.Atoi(part); err == nil && i < len(values) {
 			values[i] = v
@@ -260,6 +269,7 @@
 	}
 	return Load{
 		Running: values[0], Waiting: values[1], Slots: values[2], ServiceTime: time.Duration(values[3]) * time.Millisecond,
-		Offered: float64(values[4]) / offeredScale,
+		Offered: float64(values[4]) / offeredScale, ColdFor: time.Duration(values[5]) * time.Millisecond,
+		ColdRoom: float64(values[6]) / offeredScale, Slowness: float64(values[7]) / offeredScale,
 	}
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -28,9 +28,11 @@
 	// Member is the name of this sidecar, Zone its availability zone, and Service the service of its backend server.
 	Member, Zone, Service string
 	View                  func() *registrar.View
-	Local                 *executor.Executor
-	Peers                 *Peers
-	Logger                log.Logger
+	// Evacuated reports whether an availability zone is evacuated, so that its servers get no requests. Nil means none.
+	Evacuated func(zone string) bool
+	Local     *executor.Executor
+	Peers     *Peers
+	Logger    log.Logger
 	// TransparentRetries is the retry budget, per service, for requests that a server refused to run, and Retries the
 	// one for requests that may have run. The nested calls of a retried request count as retries of the services that
 	// they call.
--- a/loader/sidecar.go
+++ b/loader/sidecar.go
@@ -66,6 +66,13 @@
 	RetrySlack  float64       `json:"retry_slack"`
 	// MaxHold is the longest time for which a backend server may be granted keys.
 	MaxHold time.Duration `json:"max_hold"`
+	// Evacuation is how soon after its acknowledgement the evacuation of an availability zone must be in force at every
+	// process.
+	Evacuation time.Duration `json:"evacuation"`
+	// ColdShare and ColdSlack bound the requests that reach a cold backend server in one second: the rate that its service
+	// tolerates times ColdShare, and ColdSlack more.
+	ColdShare float64 `json:"cold_share"`
+	ColdSlack float64 `json:"cold_slack"`
 }
 
 // DefaultSidecarSettings returns the default settings. Names and addresses have no default.
@@ -75,7 +82,7 @@
 		Bounds: BoundSettings{
 			Configuration: 2 * time.Second,
 			Drain:         2 * time.Second, Grace: 6 * time.Second, RetryShare: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50,
-			MaxHold: 10 * time.Second,
+			MaxHold: 10 * time.Second, Evacuation: 5 * time.Second, ColdShare: 1.5, ColdSlack: 8,
 		},
 	}
 }
@@ -130,5 +137,8 @@
 	c.duration("bounds.retry_window", s.Bounds.RetryWindow, time.Second, maxDuration)
 	c.require(s.Bounds.RetrySlack >= 0, "bounds.retry_slack", fmt.Sprint(s.Bounds.RetrySlack), "0 or more")
 	c.duration("bounds.max_hold", s.Bounds.MaxHold, time.Second, maxDuration)
+	c.duration("bounds.evacuation", s.Bounds.Evacuation, minConfigurationBound, maxDuration)
+	c.require(s.Bounds.ColdShare >= 1, "bounds.cold_share", fmt.Sprint(s.Bounds.ColdShare), "1 or more")
+	c.require(s.Bounds.ColdSlack >= 0, "bounds.cold_slack", fmt.Sprint(s.Bounds.ColdSlack), "0 or more")
 	return c.problems
 }
--- a/matcher/matcher.go
+++ b/matcher/matcher.go
@@ -65,6 +65,10 @@
 	MaxConnections int
 	// WarmUp is how long keys are slow to serve after they have moved without handover.
 	WarmUp time.Duration
+	// ColdTime is how long a backend server is cold after its start, and ColdRate the number of requests per second that it
+	// tolerates meanwhile. Zero means that the servers are never cold.
+	ColdTime time.Duration
+	ColdRate float64
 }
 
 // Limits holds size limits, in bytes, and timeouts for client requests.
