granter, sidecar: a grant of an earlier incarnation isn't sent to its successor

Cause: a grant waits for a connection. Trace of a test that ends and starts servers in a loop: server ended 16.6098, started again 16.6107, all connections lost 16.6118, heartbeat of the new incarnation 16.61264, a grant of the earlier one dials 16.61302 and is applied 16.61409. Change: a call asks, once it has a connection, whether it is still for the newest known incarnation (Granter.MaySend); if not, it isn't sent. The tests print the processes' lines also if the judge alone has problems.

--- a/carrier/message.go
+++ b/carrier/message.go
@@ -27,6 +27,9 @@
 	Waited time.Duration
 	// SendBy is the latest time at which the request may be sent, as timer.Now returns it. Zero means no limit.
 	SendBy time.Duration
+	// MaySend, if it isn't nil, is called once the request has a connection. It returns an error if the request may not be
+	// sent any more.
+	MaySend func() error
 	// Detached means that the exchange, once the request is sent, continues after its context is cancelled. The deadline
 	// of the context still ends it.
 	Detached bool
--- a/carrier/pool.go
+++ b/carrier/pool.go
@@ -163,6 +163,11 @@
 	if d := watcher.SenderLeft(ctx); d != watcher.NotNoticed {
 		return &SenderLeftError{Noticed: d}
 	}
+	if q.MaySend != nil {
+		if err := q.MaySend(); err != nil {
+			return err
+		}
+	}
 	return ctx.Err()
 }
 
--- a/granter/calls.go
+++ b/granter/calls.go
@@ -316,6 +316,10 @@
 	return g.incarnation != (assigner.Incarnation{}) && (open || g.aliveAt != 0 && now-g.aliveAt < connectWindow)
 }
 
+// MaySend reports whether a call is for the newest known incarnation of the server. A call that waited for a connection may
+// have got one to a later incarnation under the same id, which must not receive it.
+func (g *Granter) MaySend(c Call) bool { return c.reference().incarnation == g.incarnation }
+
 func (g *Granter) finishGrant(now time.Duration, i int, c GrantCall, o Outcome) {
 	s := &g.calls[i]
 	s.granting = false
--- a/sidecar/calls.go
+++ b/sidecar/calls.go
@@ -30,7 +30,10 @@
 	maxCallWait = time.Second
 )
 
-var errMayNotConnect = errors.New("no recent sign of life of the server")
+var (
+	errMayNotConnect      = errors.New("no recent sign of life of the server")
+	errEarlierIncarnation = errors.New("the call is for an earlier incarnation of the server")
+)
 
 func (a *Sidecar) newGrantPool() *carrier.Pool {
 	return carrier.NewPool(carrier.PoolConfig{
@@ -121,6 +124,14 @@
 		// A connection that has carried nothing else can't deliver the answer to an earlier release.
 		pool, timeout, q.NewConn = a.releasePool, releaseCallTimeout, true
 	}
+	q.MaySend = func() error {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		if !a.granter.MaySend(c) {
+			return errEarlierIncarnation
+		}
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	r, err := pool.Exchange(ctx, a.settings.Backend, q)
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -199,10 +199,11 @@
 	for _, n := range s.nodes {
 		n.stopServer()
 	}
-	if s.t.Failed() {
+	problems := s.judge.Problems()
+	if s.t.Failed() || len(problems) > 0 {
 		s.t.Log(s.logs.String())
 	}
-	require.Empty(s.t, s.judge.Problems())
+	require.Empty(s.t, problems)
 }
 
 // await waits until a condition holds and fails the test after 30 seconds.
