carrier: no connection for grants before the loss of the earlier ones is recorded

Cause: a connection for grants may be opened shortly after a sign of life of the server. Change: a pool with MayDial knows its connections in use as well, and looks at their state in the kernel before and after it opens one. A loss is recorded before anybody else sees that no connection is left. Left: a server that is started again within 250 ms of its sign of life while the pool has no connection at all.

--- a/carrier/pool.go
+++ b/carrier/pool.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -33,9 +32,11 @@
 	// Budget bounds the memory of large response bodies. Nil means no bound beyond MaxBody.
 	Budget *Budget
 	// MayDial returns an error if no connection may be opened now, or if one that was just opened may not be used. It is
-	// told whether the pool has an idle connection to the address that the other end has not closed. Nil allows all.
+	// told whether the pool has a connection to the address, idle or in use, that the other end has not closed. Nil allows
+	// all.
 	MayDial func(open bool) error
-	// OnAllClosed is called when the other end has closed an idle connection, and no open idle one is left. It may be nil.
+	// OnAllClosed is called when the other end has closed a connection, and no open one is left. It is called before MayDial
+	// is asked for the next connection. It needs MayDial, and may be nil.
 	OnAllClosed func()
 	// Matches reports whether a response belongs to a request. First means that the connection has carried no other
 	// request, whose response it could be. Responses that don't belong to it are discarded. Nil accepts all.
@@ -81,6 +82,7 @@
 	mu     sync.Mutex
 	idle   map[netip.AddrPort][]*poolConn
 	opened uint64
+	live   liveConns
 }
 
 // poolConn is one connection of a Pool.
@@ -98,6 +100,7 @@
 func NewPool(c PoolConfig) *Pool {
 	return &Pool{
 		config: c, dialer: net.Dialer{Timeout: c.ConnectTimeout, KeepAlive: -1}, idle: map[netip.AddrPort][]*poolConn{},
+		live: liveConns{conns: map[netip.AddrPort]map[*poolConn]struct{}{}},
 	}
 }
 
@@ -137,6 +140,10 @@
 		reusable = false
 	}
 	state := ConnState{Reused: !x.first}
+	if err != nil || !reusable {
+		p.checkLoss(to)
+		p.forget(to, c)
+	}
 	switch {
 	case err != nil && ctx.Err() != nil:
 		err, state = ctx.Err(), connState(c.net, !x.first)
@@ -196,28 +203,14 @@
 		if !expired && c.reader.Buffered() == 0 && isReusable(c.net) {
 			return c, nil
 		}
-		_ = c.net.Close()
-		if !expired && p.config.OnAllClosed != nil && !p.HasOpen(to) {
-			p.config.OnAllClosed()
+		if !expired {
+			p.checkLoss(to)
 		}
+		p.forget(to, c)
+		_ = c.net.Close()
 	}
 }
 
-// HasOpen reports whether there is an idle connection to an address that the other end has not closed.
-func (p *Pool) HasOpen(to netip.AddrPort) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return slices.ContainsFunc(p.idle[to], func(c *poolConn) bool { return isReusable(c.net) })
-}
-
-// checkDial returns an error if a connection to an address may not be opened or used.
-func (p *Pool) checkDial(to netip.AddrPort) error {
-	if p.config.MayDial == nil {
-		return nil
-	}
-	return p.config.MayDial(p.HasOpen(to))
-}
-
 func (p *Pool) dial(ctx context.Context, to netip.AddrPort) (*poolConn, error) {
 	if err := p.checkDial(to); err != nil {
 		return nil, err
@@ -236,6 +229,7 @@
 	p.mu.Unlock()
 	c := &poolConn{net: nc, limited: limitedReader{source: nc}, expires: timer.Now() + p.config.IdleTimeout}
 	c.reader = bufio.NewReaderSize(&c.limited, readBuffer)
+	p.track(to, c)
 	return c, nil
 }
 
@@ -247,11 +241,13 @@
 	list := p.idle[to]
 	expired := 0
 	for expired < len(list) && list[expired].expires <= now {
+		p.forget(to, list[expired])
 		_ = list[expired].net.Close()
 		expired++
 	}
 	list = list[expired:]
 	if len(list) >= p.config.MaxIdle {
+		p.forget(to, c)
 		_ = c.net.Close()
 	} else {
 		list = append(list, c)
@@ -264,6 +260,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range p.idle[to] {
+		p.forget(to, c)
 		_ = c.net.Close()
 	}
 	delete(p.idle, to)
--- a/carrier/socket.go
+++ b/carrier/socket.go
@@ -17,6 +17,9 @@
 	userTimeout = 2500 * time.Millisecond
 )
 
+// tcpEstablished is the state TCP_ESTABLISHED of the kernel.
+const tcpEstablished = 1
+
 // setKeepAlive makes the operating system drop a connection whose other end is unresponsive. Errors are ignored: the
 // system's defaults then apply, which only detect the loss later.
 func setKeepAlive(nc net.Conn) {
@@ -85,6 +88,24 @@
 	return err == syscall.EAGAIN
 }
 
+// isEstablished reports whether neither end has closed a connection. Bytes that were not read don't matter.
+func isEstablished(nc net.Conn) bool {
+	t, ok := nc.(*net.TCPConn)
+	if !ok {
+		return true
+	}
+	raw, err := t.SyscallConn()
+	if err != nil {
+		return false
+	}
+	established := false
+	err = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		established = err == nil && info.State == tcpEstablished
+	})
+	return err == nil && established
+}
+
 // hasUnreadBytes reports whether bytes have arrived on a connection that were not read.
 func hasUnreadBytes(nc net.Conn) bool {
 	n, err := peek(nc)
