carrier, dispatcher, encoder: a response that isn't HTTP is a malformed answer

Cause: net/http takes every status of three digits, signs in it, other versions of the protocol and control bytes. The sidecar's path took what is below 200 for an interim response and waited on until the timeout; the product's path passed all of it on, and its entry panics on a status below 100. Change: carrier checks the status line byte by byte as it arrives (HTTP/1.0 or 1.1, 100 to 599, not 101) and its reason phrase for control bytes; the same check of the parsed response stands in dispatcher, in the health probe and in the client of the log service. Answers of other processes of the product need a status from 200 to 599. Other interim responses are handled as before. A status line without a reason and its space is still taken. The fuzz target of the answer decoder has the rows, and checks the status of what counts as an answer.

--- a/appender/client.go
+++ b/appender/client.go
@@ -18,6 +18,7 @@
 	"github.com/pkg/errors"
 
 	"hibiscusline/applier"
+	"hibiscusline/carrier"
 	"hibiscusline/follower"
 	"hibiscusline/hedger"
 	"hibiscusline/recorder"
@@ -183,6 +184,10 @@
 	if err != nil {
 		return answer{}, err
 	}
+	if err := carrier.CheckResponse(response); err != nil {
+		_ = response.Body.Close()
+		return answer{}, err
+	}
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
 	if closeErr := response.Body.Close(); err == nil {
 		err = closeErr
--- a/carrier/fuzz_test.go
+++ b/carrier/fuzz_test.go
@@ -12,12 +12,15 @@
 	"hibiscusline/carrier"
 )
 
-// FuzzResponse guards against bytes of a backend server that end the process, and against a truncated body that counts
-// as complete: a response with a length must have all of its body.
+// FuzzResponse guards against bytes of a backend server that end the process, against an answer whose status isn't one of
+// HTTP, and against a truncated body that counts as complete: a response with a length must have all of its body.
 func FuzzResponse(f *testing.F) {
 	for _, text := range responseForms {
 		f.Add([]byte(text))
 	}
+	for line := range statusLines(f) {
+		f.Add([]byte(line + "\r\nId: a\r\nContent-Length: 0\r\n\r\n"))
+	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		address, _ := startScriptedServer(t, func(c net.Conn, r *bufio.Reader, _ *atomic.Int32) {
 			defer c.Close()
@@ -25,7 +28,10 @@
 				_, _ = c.Write(data) // The client may have closed the connection.
 			}
 		})
-		_, _ = newPool().Exchange(t.Context(), address, newRequest("a")) // Either result is right; only a panic is a failure.
+		response, err := newPool().Exchange(t.Context(), address, newRequest("a"))
+		if err == nil && (response.Status < 200 || response.Status > 599) {
+			t.Fatalf("status %d counts as an answer", response.Status)
+		}
 	})
 }
 
--- a/carrier/pool.go
+++ b/carrier/pool.go
@@ -63,8 +63,8 @@
 // Unwrap returns the cause.
 func (e *ExchangeError) Unwrap() error { return e.Cause }
 
-// ErrMalformedResponse is the cause of an exchange whose response is too large, or that received responses to other
-// requests instead of its own.
+// ErrMalformedResponse is the cause of an exchange whose response isn't HTTP or is too large, or that received responses to
+// other requests instead of its own.
 var ErrMalformedResponse = errors.New("malformed response")
 
 // SenderLeftError is the cause of an exchange that wasn't started because the sender of the request has left.
@@ -327,6 +327,9 @@
 func (x *exchange) readResponse() (r *Response, reusable bool, err error) {
 	for range maxResponses {
 		x.conn.limited.remaining = maxResponseHeaderBytes
+		if err := checkStatusLine(x.conn.reader); err != nil {
+			return nil, false, err
+		}
 		h, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.request.Method})
 		if x.conn.limited.limitReached {
 			return nil, false, errors.Wrap(ErrMalformedResponse, "response header too large")
@@ -334,6 +337,9 @@
 		if err != nil {
 			return nil, false, errors.Wrap(err, "read response")
 		}
+		if err := CheckResponse(h); err != nil {
+			return nil, false, err
+		}
 		if h.StatusCode < 200 {
 			continue
 		}
--- a/daemon/local.go
+++ b/daemon/local.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"hibiscusline/carrier"
 	"hibiscusline/reporter"
 	"hibiscusline/timer"
 )
@@ -205,6 +206,9 @@
 		return false, false
 	}
 	defer response.Body.Close()
+	if err := carrier.CheckResponse(response); err != nil {
+		return false, false
+	}
 	var health struct {
 		Status string `json:"status"`
 	}
--- a/dispatcher/backend.go
+++ b/dispatcher/backend.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"hibiscusline/applier"
+	"hibiscusline/carrier"
 	"hibiscusline/encoder"
 	"hibiscusline/quarantiner"
 )
@@ -141,7 +142,16 @@
 		// run on the same instance and share its clock.
 		request.Header.Set(HeaderDeadline, strconv.FormatInt(deadline.UnixMilli(), 10))
 	}
-	response, err := b.currentClient().Do(request)
+	client := b.currentClient()
+	response, err := client.Do(request)
+	if err == nil {
+		if err = carrier.CheckResponse(response); err != nil {
+			_ = response.Body.Close()
+			// The connection of a response without a body is idle already.
+			client.CloseIdleConnections()
+			response = nil
+		}
+	}
 	return callResult{response: response, err: err, connected: connected.Load(), reused: reused.Load()}
 }
 
--- a/encoder/frame.go
+++ b/encoder/frame.go
@@ -113,7 +113,7 @@
 	case kindRequest:
 		return decodeAs[Request](body)
 	case kindResponse:
-		return decodeAs[Response](body)
+		return decodeResponse(body)
 	case kindFetch:
 		return decodeAs[Fetch](body)
 	case kindRecords:
@@ -145,3 +145,15 @@
 	}
 	return m, nil
 }
+
+// decodeResponse returns an error for an answer whose status can't be passed on.
+func decodeResponse(body []byte) (Message, error) {
+	m, err := decodeAs[Response](body)
+	if err != nil {
+		return nil, err
+	}
+	if r := m.(Response); r.Outcome == Answered && (r.Status < 200 || r.Status > 599) {
+		return nil, errors.Errorf("decode encoder.Response: an answer with status %d", r.Status)
+	}
+	return m, nil
+}
--- a/encoder/frame_test.go
+++ b/encoder/frame_test.go
@@ -22,3 +22,18 @@
 		}
 	}
 }
+
+// TestResponseStatus guards against an answer of another process whose status isn't one of HTTP, which would be passed on or
+// end the handling of the request with a panic.
+func TestResponseStatus(t *testing.T) {
+	for status, valid := range map[int]bool{-1: false, 0: false, 99: false, 101: false, 200: true, 599: true, 600: false, 999: false} {
+		var frame bytes.Buffer
+		require.NoError(t, Write(&frame, Response{Outcome: Answered, Status: status}))
+		_, err := Read(&frame)
+		require.Equal(t, valid, err == nil, "status %d: %v", status, err)
+	}
+	var frame bytes.Buffer
+	require.NoError(t, Write(&frame, Response{Outcome: NotRun}))
+	_, err := Read(&frame)
+	require.NoError(t, err)
+}
