limiter, admitter, executor, sidecar: pace the requests of a cold backend server

Change: package limiter weighs the signals of a cold time and paces the starts; the admitter starts by rank and deadline within the pace and refuses what can't start in time; the sidecar feeds it from heartbeats, starts and silence. Measured: go test ./limiter ./executor ./forwarder passes; the property test of the bound passes.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"hibiscusline/limiter"
 )
 
 // Admitter schedules requests onto the slots of one backend server. It is not safe for concurrent use.
@@ -24,12 +26,14 @@
 	unknownRanks uint64
 	// serviceTime estimates the service time over all ranks.
 	serviceTime estimate
+	// pace limits the starts while the server is cold.
+	pace *limiter.Limiter
 }
 
 // New returns an Admitter with no requests.
 func New(c Config) *Admitter {
 	c.QueueLimit = max(c.QueueLimit, 1)
-	a := &Admitter{config: c, slots: max(c.Slots, 0), requests: map[uint64]*request{}}
+	a := &Admitter{config: c, slots: max(c.Slots, 0), requests: map[uint64]*request{}, pace: limiter.New(c.Pace)}
 	a.setRanks(c.Ranks)
 	return a
 }
@@ -50,6 +54,7 @@
 		}
 	case Tick:
 		a.expire()
+		a.expirePaced()
 	case Resize:
 		a.slots = max(e.Slots, 0)
 		if a.slots == 0 {
@@ -57,6 +62,8 @@
 		}
 	case Reconfigure:
 		a.setRanks(e.Ranks)
+	case Pace:
+		a.pace.Set(a.now, e.State)
 	}
 	a.dispatch()
 	return a.actions
@@ -244,6 +251,7 @@
 		a.nestedRunning++
 	}
 	e.queue.charge(e)
+	a.pace.Started(a.now)
 	a.actions = append(a.actions, Start{ID: e.ID})
 }
 
--- a/admitter/choose.go
+++ b/admitter/choose.go
@@ -25,7 +25,7 @@
 
 // next returns the waiting request that gets the next free slot, or nil.
 func (a *Admitter) next() *request {
-	if a.running >= a.slots || a.exclusive.current != nil {
+	if a.running >= a.slots || a.exclusive.current != nil || !a.mayStart() {
 		return nil
 	}
 	if a.config.Policy == SingleQueue {
@@ -137,6 +137,9 @@
 // wait no longer than allowedWait. If only deadlines limited a standing queue, all responses would miss the target; with
 // this limit, as many meet it as the slots can serve.
 func (a *Admitter) admissible(e *request) bool {
+	if a.paced() {
+		return a.admissiblePaced(e)
+	}
 	wait := a.expectedWait(e)
 	if e.Exclusive || e.Nested || !e.queue.standing(a.now, a.slots) {
 		return a.canMeetDeadline(e, wait)
@@ -150,9 +153,18 @@
 // minStartRate is the lower bound on the start rate of a standing queue in wait estimates, in starts per second.
 const minStartRate = 0.5
 
-// expectedWait estimates how long a new request waits for a slot: the queued work of its rank and of those that are as
-// urgent or more, divided by the slots that the more urgent ranks leave free. The floor of the rank caps the estimate.
+// expectedWait estimates how long a new request waits until it starts.
 func (a *Admitter) expectedWait(e *request) time.Duration {
+	wait := a.slotWait(e)
+	if a.paced() {
+		return max(wait, a.pacedWait(e))
+	}
+	return wait
+}
+
+// slotWait estimates how long a new request waits for a slot: the queued work of its rank and of those that are as
+// urgent or more, divided by the slots that the more urgent ranks leave free. The floor of the rank caps the estimate.
+func (a *Admitter) slotWait(e *request) time.Duration {
 	if e.Exclusive {
 		return a.exclusive.expectedWait(a.now)
 	}
--- a/admitter/types.go
+++ b/admitter/types.go
@@ -1,6 +1,10 @@
 package admitter
 
-import "time"
+import (
+	"time"
+
+	"hibiscusline/limiter"
+)
 
 //go:generate go tool stringer -type=Policy,Reason -linecomment -output=names.go
 
@@ -57,6 +61,8 @@
 	// stay idle without nested requests: one slot of 12 costs a twelfth of the goodput in an overload.
 	NestedShare float64
 	Policy      Policy
+	// Pace bounds the starts on a cold server.
+	Pace limiter.Config
 }
 
 // Event is an input of Admitter.Step. Only the types of this package implement it.
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -13,6 +13,7 @@
 	"hibiscusline/admitter"
 	"hibiscusline/applier"
 	"hibiscusline/carrier"
+	"hibiscusline/limiter"
 	"hibiscusline/platform"
 	"hibiscusline/quarantiner"
 	"hibiscusline/timer"
@@ -40,6 +41,8 @@
 	OnCrash func(applier.Suspect)
 	// OnSenderLeft is called for each job that isn't sent to the server because its sender has left.
 	OnSenderLeft func(watcher.Departure)
+	// Pace bounds the requests that a cold server gets.
+	Pace limiter.Config
 }
 
 // Server is the state of the backend server according to its heartbeats.
@@ -73,6 +76,9 @@
 	stall         carrier.StallDetector
 	// responseSizes holds the average response size of each rank, in bytes.
 	responseSizes map[string]float64
+	cold          coldCounter
+	// lastResponse is when the server last answered a request.
+	lastResponse time.Duration
 }
 
 const (
@@ -122,7 +128,7 @@
 				return platform.ResponseMatches(q.Header, h, first)
 			},
 		}),
-		queue:         admitter.NewQueue(admitter.Config{QueueLimit: queueLimit, NestedShare: nestedShare}),
+		queue:         admitter.NewQueue(admitter.Config{QueueLimit: queueLimit, NestedShare: nestedShare, Pace: c.Pace}),
 		responseSizes: map[string]float64{},
 	}
 }
@@ -134,6 +140,7 @@
 	if s.Slots != g.server.Slots {
 		g.queue.Step(timer.Now(), admitter.Resize{Slots: s.Slots})
 	}
+	g.setPace(s)
 	g.server = s
 }
 
@@ -146,9 +153,11 @@
 
 func (g *Executor) load() Load {
 	serviceTime := g.queue.Admitter().MeanServiceTime()
+	room, cold := g.queue.Admitter().Room(timer.Now())
 	return Load{
 		Running: g.queue.Running(), Waiting: g.queue.Waiting(), Slots: g.server.Slots, ServiceTime: serviceTime,
 		Offered: g.arrivals.rate(timer.Now()) * serviceTime.Seconds() / float64(max(g.server.Slots, 1)),
+		ColdFor: cold, ColdRoom: room,
 	}
 }
 
@@ -206,9 +215,13 @@
 	defer g.config.Link.reserve(-size)
 	id, decided := g.enqueue(j, verdict == quarantiner.RunAlone)
 	if r, refused := g.awaitSlot(ctx, id, decided); refused {
+		if r.Reason != CallerDisconnected {
+			g.countPaced(true)
+		}
 		return r
 	}
 	started := timer.Now()
+	g.countPaced(false)
 	// The keys may have moved while the request was queued.
 	server, r, refused := g.checkServer(j)
 	if refused {
@@ -227,6 +240,9 @@
 	r.Crashes = g.settle(running, r, server)
 	g.mu.Lock()
 	g.stall.Ended(timer.Now(), r.Outcome == Answered || r.Reason == ServerRefused)
+	if r.Outcome == Answered {
+		g.lastResponse = timer.Now()
+	}
 	if r.Outcome == Answered && r.Response.Status < http.StatusBadRequest {
 		g.recordResponseSize(j.Rank, len(r.Response.Body))
 	}
--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -49,6 +49,7 @@
 	if len(c.Unrecognized) > 0 {
 		_ = a.logger.Log("event", "configuration_unrecognized", "version", c.Version, "count", len(c.Unrecognized), "first", c.Unrecognized[0])
 	}
+	a.applyColdRate()
 	wake(a.planWake)
 	a.updates.send()
 	return true
--- a/sidecar/heartbeat.go
+++ b/sidecar/heartbeat.go
@@ -8,6 +8,7 @@
 
 	"hibiscusline/assigner"
 	"hibiscusline/granter"
+	"hibiscusline/limiter"
 	"hibiscusline/loader"
 	"hibiscusline/platform"
 	"hibiscusline/registrar"
@@ -101,7 +102,8 @@
 		if s.incarnation != (assigner.Incarnation{}) {
 			_ = a.logger.Log("event", "server_started", "instance", h.Incarnation.Instance, "born", h.Incarnation.Born, "before", s.incarnation.Instance)
 		}
-		*s = serverState{incarnation: h.Incarnation}
+		*s = serverState{incarnation: h.Incarnation, lastHeartbeat: now, service: h.Service}
+		a.assumeCold(now, h.Service, limiter.NewServer)
 		a.granter.Revoke()
 	}
 	if s.unconfirmed && h.Incarnation == s.incarnation {
@@ -113,6 +115,7 @@
 		return response, false
 	}
 	s.lastHeartbeat, s.service, s.slots = now, h.Service, h.Slots
+	a.observeCold(now, h)
 	a.logGrants(now, h, response)
 	// An earlier process may have acknowledged the drain at an unknown time.
 	s.drainOver = s.drainOver || h.Draining && unheard && !a.knowsLeavings(h.Incarnation)
--- a/sidecar/server.go
+++ b/sidecar/server.go
@@ -8,6 +8,7 @@
 	"hibiscusline/assigner"
 	"hibiscusline/executor"
 	"hibiscusline/granter"
+	"hibiscusline/limiter"
 	"hibiscusline/platform"
 	"hibiscusline/registrar"
 	"hibiscusline/timer"
@@ -34,6 +35,7 @@
 	grantCount int
 	// deregistered means that the server has announced its shutdown.
 	deregistered bool
+	cold         coldState
 }
 
 // maxHeartbeatBytes bounds the body of a heartbeat.
@@ -104,6 +106,7 @@
 	a.server = serverState{
 		incarnation: p.Incarnation, service: p.Service, slots: p.Slots, lastHeartbeat: timer.Now(), unconfirmed: !confirmed,
 	}
+	a.assumeCold(timer.Now(), p.Service, limiter.NewProcess)
 	a.setServerState(registrar.Ready)
 	a.endUseOfLeftServer()
 	a.updateExecutor()
@@ -142,6 +145,7 @@
 	if a.leavingsKnown && !s.unconfirmed && s.state.Running() {
 		g = executor.Server{Instance: s.incarnation.Instance, Service: s.service, Slots: s.slots}
 	}
+	a.setCold(&g)
 	switch {
 	case s.drainOver:
 		g.RefuseFrom, g.RefuseKeyedFrom = s.drainingSince, s.drainingSince
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -21,6 +21,7 @@
 	"hibiscusline/executor"
 	"hibiscusline/forwarder"
 	"hibiscusline/granter"
+	"hibiscusline/limiter"
 	"hibiscusline/loader"
 	"hibiscusline/platform"
 	"hibiscusline/quarantiner"
@@ -193,6 +194,7 @@
 		Backend: s.Backend, Logger: a.logger, Permits: a.permits,
 		OnConnectionRefused: a.handleConnectionRefused, OnKeyRefused: a.refuseKey, Link: a.link, Budget: budget,
 		Quarantine: a.quarantine, OnCrash: a.handleCrash,
+		Pace:         limiter.Config{Share: bounds.ColdShare, Slack: bounds.ColdSlack},
 		OnSenderLeft: func(d watcher.Departure) { a.metrics.senderLeft("server", d) },
 	})
 	a.forwarder = forwarder.New(forwarder.Config{
--- a/sidecar/watch.go
+++ b/sidecar/watch.go
@@ -62,6 +62,9 @@
 		if !missing && !s.deregistered || s.incarnation == (assigner.Incarnation{}) || s.state == registrar.Ended {
 			continue
 		}
+		if missing {
+			a.suspectCold(s)
+		}
 		refused := a.serverRefusesConnections()
 		lapsed := missing && timer.Now() > lapse
 		// A process that has stalled gets here before it has handled the heartbeats that arrived meanwhile.
