forwarder, balancer: choose cold servers within their rate

Cause: entries queued at cold servers while others finish sooner, and asked them again at once after a refusal. Change: an entry keeps what cold servers last reported, credits itself its share of the rate, counts the wait like that of a busy server, and refuses at once what a cold server has refused to a request as urgent.

--- a/balancer/candidate.go
+++ b/balancer/candidate.go
@@ -73,6 +73,8 @@
 	// that report, negative if there is none.
 	ReportedInFlight int
 	ReportAge        time.Duration
+	// ColdWait is how long a request would wait because the member's backend server is cold and has no room, or zero.
+	ColdWait time.Duration
 }
 
 // ChooserConfig configures a Chooser. Zero durations select the defaults.
--- a/balancer/chooser.go
+++ b/balancer/chooser.go
@@ -88,7 +88,10 @@
 		best = other
 	}
 	if cold != nil && (best == nil || c.coldScore(*cold) < c.loadScore(*best)) {
-		return cold
+		best = cold
+	}
+	if best != nil && best.ColdWait > 0 {
+		return c.soonest(candidates, best)
 	}
 	return best
 }
@@ -173,9 +176,9 @@
 func (c *Chooser) loadScore(candidate Candidate) float64 {
 	h, known := c.members[candidate.ID]
 	if !known {
-		return candidate.reportPenalty(0)
+		return candidate.reportPenalty(0) + c.coldPenalty(candidate)
 	}
-	return float64(h.inFlight)/float64(max(candidate.Slots, 1)) + candidate.reportPenalty(h.inFlight) +
+	return c.coldPenalty(candidate) + float64(h.inFlight)/float64(max(candidate.Slots, 1)) + candidate.reportPenalty(h.inFlight) +
 		h.shedShare(c.now) + failureWeight*h.failureShare(c.now)
 }
 
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -23,6 +23,7 @@
 	start := timer.Now()
 	p.service.mu.Lock()
 	p.service.chooser.Started(id)
+	p.service.cold.send(m.Name)
 	p.service.mu.Unlock()
 	r := p.send(ctx, m)
 	// This process adopts the crashes that the result reports.
@@ -34,6 +35,7 @@
 	if r.Load.Slots > 0 {
 		p.service.loads[m.Name] = reportedLoad{Load: r.Load, reportedAt: now}
 	}
+	p.service.cold.record(m.Name, now, p.job.Priority, r)
 	p.service.linkRefusals.record(refusalKey{m.Name, p.match.Rank}, now, r)
 	if r.Reached {
 		p.sends++
@@ -128,7 +130,7 @@
 		}
 	case executor.NotRun:
 		if !r.Reached {
-			return r.Reason != executor.CallerDisconnected && r.Reason != executor.DeadlineTooClose
+			return r.Reason != executor.CallerDisconnected && (r.Reason != executor.DeadlineTooClose || refusedCold(r))
 		}
 	}
 	if p.sends >= p.match.Route.Attempts {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -101,6 +101,7 @@
 	ages               serverAges
 	loads              map[string]reportedLoad
 	linkRefusals       linkRefusals
+	cold               coldServers
 }
 
 type reportedLoad struct {
@@ -141,7 +142,7 @@
 			transparentRetries: retrier.NewBudget(f.config.TransparentRetries),
 			retries:            retrier.NewBudget(f.config.Retries),
 			ages:               serverAges{}, loads: map[string]reportedLoad{},
-			linkRefusals: linkRefusals{},
+			linkRefusals: linkRefusals{}, cold: coldServers{},
 		}
 		f.services[name] = s
 	}
--- a/forwarder/forwarding.go
+++ b/forwarder/forwarding.go
@@ -101,9 +101,12 @@
 	waitUntil := p.job.Request.Received + time.Duration(ownerWaitShare*float64(p.match.Route.Target))
 	for try := 0; try < maxTries; {
 		if m, found := p.keyOwner(); found {
+			if e, refused := p.refusedByColdOwner(m.Name); refused {
+				return e.result(timer.Now())
+			}
 			last = p.attempt(ctx, m)
 			try++
-			if !p.shouldRetry(ctx, last) {
+			if !p.shouldRetry(ctx, last) || refusedCold(last) {
 				return last
 			}
 		}
@@ -157,14 +160,17 @@
 		if m.State != registrar.Ready || m.Stopping || p.wasTried(m.Name) || p.forwarder.config.Peers.DownFor(m.Peer) > 0 {
 			continue
 		}
+		if e, refused := p.service.cold.lookUp(m.Name, now, p.job.Priority); refused {
+			p.noteRefusal(e)
+			continue
+		}
 		if e, refused := p.service.linkRefusals.lookUp(refusalKey{m.Name, p.match.Rank}, now); refused {
-			if p.refusedBy == nil || e.retryAt < p.refusedBy.retryAt {
-				p.refusedBy = &e
-			}
+			p.noteRefusal(e)
 			continue
 		}
 		c := balancer.Candidate{ID: memberID(m.Name), Zone: m.Zone, Slots: m.Slots}
 		c.Age = p.service.ages.of(now, m.Name)
+		c.ColdWait = p.coldWait(now, m, len(v.Members))
 		if l, known := p.service.loads[m.Name]; known {
 			c.ReportedInFlight, c.ReportAge = l.Running+l.Waiting, now-l.reportedAt
 		}
@@ -181,6 +187,20 @@
 	return byID[id], true
 }
 
+// noteRefusal keeps the refusal whose member expects room first.
+func (p *forwardedRequest) noteRefusal(e refusal) {
+	if p.refusedBy == nil || e.retryAt < p.refusedBy.retryAt {
+		p.refusedBy = &e
+	}
+}
+
+// refusedByColdOwner returns the refusal by the owner of the request's key that applies to the request, if there is one.
+func (p *forwardedRequest) refusedByColdOwner(member string) (refusal, bool) {
+	p.service.mu.Lock()
+	defer p.service.mu.Unlock()
+	return p.service.cold.lookUp(member, timer.Now(), p.job.Priority)
+}
+
 func (p *forwardedRequest) wasTried(name string) bool {
 	for _, t := range p.tried {
 		if t == name {
--- a/forwarder/refusals.go
+++ b/forwarder/refusals.go
@@ -16,13 +16,18 @@
 
 type refusalKey struct{ member, rank string }
 
-// refusal tells until when a member isn't asked again, and when it expects that its link has room.
-type refusal struct{ until, retryAt time.Duration }
+// refusal tells until when a member isn't asked again, and when it expects to have room.
+type refusal struct {
+	until, retryAt time.Duration
+	reason         executor.Reason
+}
 
 // record stores a result if it is a refusal because of a saturated link.
 func (l linkRefusals) record(key refusalKey, now time.Duration, r executor.Result) {
 	if r.Reason == executor.LinkBusy {
-		l[key] = refusal{until: now + min(r.RetryAfter, maxLinkRefusal), retryAt: now + r.RetryAfter}
+		l[key] = refusal{
+			until: now + min(r.RetryAfter, maxLinkRefusal), retryAt: now + r.RetryAfter, reason: executor.LinkBusy,
+		}
 	}
 }
 
@@ -35,5 +40,5 @@
 // result returns the result of a request that isn't sent because of the refusal. Its caller is told the time that the
 // member has named, not the end of the skipping.
 func (e refusal) result(now time.Duration) executor.Result {
-	return executor.Result{Outcome: executor.NotRun, Reason: executor.LinkBusy, RetryAfter: max(e.retryAt-now, 0)}
+	return executor.Result{Outcome: executor.NotRun, Reason: e.reason, RetryAfter: max(e.retryAt-now, 0)}
 }
