--- a/assigner/plan.go
+++ b/assigner/plan.go
@@ -18,6 +18,8 @@
 	Leaving bool
 	// Unreachable means that the planning process cannot reach the member at present.
 	Unreachable bool
+	// Cold means that the server is cold while others are warm and have room, so that it gets keys after them.
+	Cold bool
 }
 
 // PlanInput is the input of Plan.
@@ -200,9 +202,15 @@
 	}
 }
 
-// fewestSlices returns the usable owner with the fewest slices.
+// fewestSlices returns the usable owner with the fewest slices. Cold ones come last.
 func (p *planner) fewestSlices(count map[Owner]int) Owner {
-	return slices.MinFunc(p.usable, func(a, b Owner) int { return cmp.Compare(count[a], count[b]) })
+	weighted := func(o Owner) int {
+		if p.cold(o) {
+			return count[o] + len(p.table.Slices)
+		}
+		return count[o]
+	}
+	return slices.MinFunc(p.usable, func(a, b Owner) int { return cmp.Compare(weighted(a), weighted(b)) })
 }
 
 // planMoves sets targets for all slices of leaving owners, and for enough slices of other owners that a new owner gets
@@ -224,6 +232,12 @@
 	p.planNewOwnerMoves(count)
 }
 
+// cold reports whether an owner's server is cold.
+func (p *planner) cold(o Owner) bool {
+	c, known := p.candidate(o.Member)
+	return known && c.Cold && c.Owner == o
+}
+
 func (p *planner) setTarget(slice int, to Owner, count map[Owner]int) {
 	from, _ := p.table.OwnerOf(slice)
 	count[from]--
@@ -239,7 +253,7 @@
 func (p *planner) planNewOwnerMoves(count map[Owner]int) {
 	fairShare := len(p.table.Slices) / len(p.usable)
 	for _, o := range p.usable {
-		if float64(count[o]) >= newOwnerShare*float64(fairShare) {
+		if float64(count[o]) >= newOwnerShare*float64(fairShare) || p.cold(o) {
 			continue
 		}
 		// The step size scatters the slices of the new owner over the keys.
--- a/assigner/rebalance.go
+++ b/assigner/rebalance.go
@@ -9,6 +9,8 @@
 type Load struct {
 	Owner   Owner
 	Offered float64
+	// Cold means that the owner's server is cold. It gets no slices then.
+	Cold bool
 }
 
 // Move assigns a target to a slice.
@@ -48,7 +50,7 @@
 	headroom := map[Owner]float64{}
 	count := t.SliceCounts()
 	for _, l := range loads {
-		if l.Owner != self && l.Offered < mean && count[l.Owner]+rebalanceMaxMoves <= maxGrantsPerOwner {
+		if l.Owner != self && !l.Cold && l.Offered < mean && count[l.Owner]+rebalanceMaxMoves <= maxGrantsPerOwner {
 			headroom[l.Owner] = mean - l.Offered
 		}
 	}
--- a/forwarder/cold.go
+++ b/forwarder/cold.go
@@ -5,6 +5,7 @@
 
 	"hibiscusline/executor"
 	"hibiscusline/registrar"
+	"hibiscusline/timer"
 )
 
 // coldServers holds, by member, what is known of the servers that are cold. It is not safe for concurrent use.
@@ -13,9 +14,12 @@
 // coldServer is a cold server, as its member reported it with the latest result.
 type coldServer struct {
 	until, reportedAt time.Duration
-	// room is the number of requests that the server could be sent at the time of the report, and sent how many of this entry
-	// have gone there since.
-	room, sent float64
+	// room is the number of requests that this entry may send the server at the time countedAt.
+	room      float64
+	countedAt time.Duration
+	// share is the part of the rate of the server, per second, that the entry credits itself since then, and burst the most
+	// that it saves up.
+	share, burst float64
 	// refused is the latest refusal for want of room, which counts for requests of the priority and less urgent ones.
 	refused  refusal
 	priority int
@@ -45,7 +49,7 @@
 		return
 	}
 	s := c[member]
-	s.until, s.reportedAt, s.room, s.sent = now+r.Load.ColdFor, now, r.Load.ColdRoom, 0
+	s.until, s.reportedAt, s.room, s.countedAt = now+r.Load.ColdFor, now, r.Load.ColdRoom, now
 	if refusedCold(r) && (now >= s.refused.until || priority <= s.priority) {
 		s.refused = refusal{
 			until: now + min(r.RetryAfter, maxColdRefusal), retryAt: now + r.RetryAfter, reason: executor.Overloaded,
@@ -62,13 +66,18 @@
 }
 
 // send records that a request is sent to a member.
-func (c coldServers) send(member string) {
+func (c coldServers) send(member string, now time.Duration) {
 	if s, known := c[member]; known {
-		s.sent++
+		s.room, s.countedAt = s.roomAt(now)-1, now
 		c[member] = s
 	}
 }
 
+// roomAt returns the number of requests that the entry may send the server now.
+func (s coldServer) roomAt(now time.Duration) float64 {
+	return min(s.room+s.share*(now-s.countedAt).Seconds(), max(s.burst, s.room))
+}
+
 // coldWait estimates how long a request waits at the member for the rate of its cold server, or zero. An entry credits itself
 // its share of the rate since the report. A server that started and hasn't reported yet is taken to be cold.
 func (p *forwardedRequest) coldWait(now time.Duration, m registrar.Member, entries int) time.Duration {
@@ -85,18 +94,32 @@
 		return 0
 	case known && s.reportedAt >= since:
 	case !heard && now-since < service.ColdTime:
-		s = coldServer{until: since + service.ColdTime, reportedAt: since}
-		p.service.cold[m.Name] = s
+		s = coldServer{until: since + service.ColdTime, reportedAt: since, countedAt: since}
 	default:
 		return 0
 	}
 	if m.Name == p.forwarder.config.Member && p.forwarder.config.Local != nil {
-		s.room, s.sent, s.reportedAt = p.forwarder.config.Local.Load().ColdRoom, 0, now
+		s.room, s.countedAt = p.forwarder.config.Local.Load().ColdRoom, now
 	}
-	credit := service.ColdRate * (now - s.reportedAt).Seconds() / float64(max(entries, 1))
-	room := min(s.room+credit, max(service.ColdRate*coldBurst.Seconds(), 1)) - s.sent
+	s.share, s.burst = service.ColdRate/float64(max(entries, 1)), max(service.ColdRate*coldBurst.Seconds(), 1)
+	p.service.cold[m.Name] = s
+	room := s.roomAt(now)
 	if room >= 1 {
 		return 0
 	}
 	return min(time.Duration((1-room)/service.ColdRate*float64(time.Second)), s.until-now)
 }
+
+// Cold returns the members of a service whose servers are cold, by their latest reports.
+func (f *Forwarder) Cold(name string) map[string]bool {
+	s := f.service(name)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	cold := map[string]bool{}
+	for member, c := range s.cold {
+		if timer.Now() < c.until {
+			cold[member] = true
+		}
+	}
+	return cold
+}
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -23,7 +23,7 @@
 	start := timer.Now()
 	p.service.mu.Lock()
 	p.service.chooser.Started(id)
-	p.service.cold.send(m.Name)
+	p.service.cold.send(m.Name, start)
 	p.service.mu.Unlock()
 	r := p.send(ctx, m)
 	// This process adopts the crashes that the result reports.
--- a/sidecar/cold.go
+++ b/sidecar/cold.go
@@ -8,6 +8,7 @@
 	"hibiscusline/limiter"
 	"hibiscusline/matcher"
 	"hibiscusline/platform"
+	"hibiscusline/registrar"
 	"hibiscusline/timer"
 )
 
@@ -120,3 +121,42 @@
 	}
 	a.updateExecutor()
 }
+
+// coldRoom is the mean offered load of the warm owners, with the keys of the cold ones, below which they have room for these.
+const coldRoom = 0.7
+
+func count(set map[string]bool) int {
+	n := 0
+	for _, in := range set {
+		if in {
+			n++
+		}
+	}
+	return n
+}
+
+// coldOwners returns the members of a service whose servers are cold, if warm ones have room.
+func (a *Sidecar) coldOwners(service string) map[string]bool {
+	if a.serviceOf(service).ColdRate <= 0 {
+		return nil
+	}
+	cold, loads := a.forwarder.Cold(service), a.forwarder.Loads(service)
+	own := a.executor.Load()
+	cold[a.settings.Name], loads[a.settings.Name] = own.ColdFor > 0, own.Offered
+	offered, warm := 0.0, 0
+	for member, load := range loads {
+		if !cold[member] {
+			offered, warm = offered+load, warm+1
+		}
+	}
+	all := 0
+	for _, m := range a.registrar.View().ByService[service] {
+		if m.State == registrar.Ready {
+			all++
+		}
+	}
+	if warm == 0 || offered/float64(warm)*float64(max(all, warm))/float64(max(all-count(cold), 1)) > coldRoom {
+		return nil
+	}
+	return cold
+}
--- a/sidecar/plan.go
+++ b/sidecar/plan.go
@@ -139,11 +139,13 @@
 			return timer.Now() - since
 		},
 	}
+	cold := a.coldOwners(service)
 	for _, m := range v.ByService[service] {
 		view.Candidates = append(view.Candidates, assigner.Candidate{
 			Owner: m.Owner(), Usable: m.State == registrar.Ready && !m.Stopping,
 			Ended: m.State == registrar.Ended, Leaving: m.State == registrar.Draining,
 			Unreachable: m.Name != a.settings.Name && a.peers.DownFor(m.Peer) > 0,
+			Cold:        cold[m.Name],
 		})
 	}
 	return view
@@ -190,10 +192,11 @@
 	self := own.Owner()
 	loads := []assigner.Load{{Owner: self, Offered: a.executor.Load().Offered}}
 	offeredLoads := a.forwarder.Loads(a.settings.Service)
+	cold := a.forwarder.Cold(a.settings.Service)
 	for _, m := range v.ByService[a.settings.Service] {
 		offered, recent := offeredLoads[m.Name]
 		if recent && m.Name != own.Name && m.State == registrar.Ready && !m.Stopping {
-			loads = append(loads, assigner.Load{Owner: m.Owner(), Offered: offered})
+			loads = append(loads, assigner.Load{Owner: m.Owner(), Offered: offered, Cold: cold[m.Name]})
 		}
 	}
 	for i := range t.Slices {
