--- a/forwarder/cold.go
+++ b/forwarder/cold.go
@@ -85,6 +85,10 @@
 	if service.ColdRate <= 0 {
 		return 0
 	}
+	if m.Name == p.forwarder.config.Member && p.forwarder.config.Local != nil {
+		l := p.forwarder.config.Local.Load()
+		return min(waitForRoom(l.ColdRoom, service.ColdRate), l.ColdFor)
+	}
 	s, known := p.service.cold[m.Name]
 	since := p.service.ages[m.Name].since
 	heard := p.service.loads[m.Name].reportedAt > since
@@ -98,16 +102,14 @@
 	default:
 		return 0
 	}
-	if m.Name == p.forwarder.config.Member && p.forwarder.config.Local != nil {
-		s.room, s.countedAt = p.forwarder.config.Local.Load().ColdRoom, now
-	}
 	s.share, s.burst = service.ColdRate/float64(max(entries, 1)), max(service.ColdRate*coldBurst.Seconds(), 1)
 	p.service.cold[m.Name] = s
-	room := s.roomAt(now)
-	if room >= 1 {
-		return 0
-	}
-	return min(time.Duration((1-room)/service.ColdRate*float64(time.Second)), s.until-now)
+	return min(waitForRoom(s.roomAt(now), service.ColdRate), s.until-now)
+}
+
+// waitForRoom returns the time until there is room for a request at a rate per second.
+func waitForRoom(room, rate float64) time.Duration {
+	return max(time.Duration((1-room)/rate*float64(time.Second)), 0)
 }
 
 // Cold returns the members of a service whose servers are cold, by their latest reports.
