--- a/forwarder/cold.go
+++ b/forwarder/cold.go
@@ -26,9 +26,9 @@
 }
 
 const (
-	// maxColdRefusal bounds how long a member isn't asked again after its cold server had no room. A more urgent request may
-	// have left, and the rate of the server is shared with other entries.
-	maxColdRefusal = 200 * time.Millisecond
+	// maxColdRefusal bounds how long a member isn't asked again after its cold server had no room, unless it reports room
+	// before. More urgent requests may have left, and the rate of the server is shared with other entries.
+	maxColdRefusal = 500 * time.Millisecond
 	// coldBurst is the span of the rate of a cold server that an entry sends it at once.
 	coldBurst = 100 * time.Millisecond
 )
@@ -50,6 +50,9 @@
 	}
 	s := c[member]
 	s.until, s.reportedAt, s.room, s.countedAt = now+r.Load.ColdFor, now, r.Load.ColdRoom, now
+	if s.room >= 1 {
+		s.refused = refusal{}
+	}
 	if refusedCold(r) && (now >= s.refused.until || priority <= s.priority) {
 		s.refused = refusal{
 			until: now + min(r.RetryAfter, maxColdRefusal), retryAt: now + r.RetryAfter, reason: executor.Overloaded,
