assigner: keys leave an evacuated zone in waves and come back by degrees

Cause: owners in an evacuated zone must hand their keys over; all at once is more than one table takes, and cold servers can't take their whole share back. With more slices than an owner has grants, tokens were merged again in every plan without making grants fewer: planning did not end. Change: candidates that are evacuated move owner by owner, up to a quarter of the slices at once; returning ones get a sixth of their share. Moved slices join their neighbours when owners are few. Tokens are merged only if that makes grants fewer.

--- a/assigner/plan.go
+++ b/assigner/plan.go
@@ -16,6 +16,11 @@
 	Ended bool
 	// Leaving means that the server or the process is shutting down for good, so that its slices should move.
 	Leaving bool
+	// Evacuated means that the member is in an evacuated availability zone. Its slices move like those of a leaving one, but not
+	// those of all such members at once.
+	Evacuated bool
+	// Returning means that the evacuation ended a short time ago, so that the member gets only some slices.
+	Returning bool
 	// Unreachable means that the planning process cannot reach the member at present.
 	Unreachable bool
 }
@@ -193,13 +198,24 @@
 			}
 			last = s
 		}
-		if grantCount > maxGrantsPerOwner {
+		if grantCount > maxGrantsPerOwner && runs(list) < grantCount {
 			p.table.assign(o, list)
 			p.changed = true
 		}
 	}
 }
 
+// runs returns the number of groups of neighbouring slices in a list in ascending order.
+func runs(list []int) int {
+	n := 0
+	for i := range list {
+		if i == 0 || list[i] != list[i-1]+1 {
+			n++
+		}
+	}
+	return n
+}
+
 // fewestSlices returns the usable owner with the fewest slices.
 func (p *planner) fewestSlices(count map[Owner]int) Owner {
 	return slices.MinFunc(p.usable, func(a, b Owner) int { return cmp.Compare(count[a], count[b]) })
@@ -212,18 +228,49 @@
 		return
 	}
 	count := p.table.SliceCounts()
-	for i, s := range p.table.Slices {
-		o, found := p.table.OwnerOf(i)
-		if !found || s.Target != 0 {
+	moving := 0
+	for _, s := range p.table.Slices {
+		if s.Target != 0 {
+			moving++
+		}
+	}
+	for _, o := range slices.Clone(p.table.Owners) {
+		c, known := p.candidate(o.Member)
+		if !known || c.Owner.Incarnation != o.Incarnation {
 			continue
 		}
-		if c, known := p.candidate(o.Member); known && c.Leaving && c.Owner.Incarnation == o.Incarnation {
-			p.setTarget(i, p.fewestSlices(count), count)
+		if c.Leaving || c.Evacuated && moving < len(p.table.Slices)/evacuationDivisor {
+			moving += p.moveAll(o, count)
 		}
 	}
 	p.planNewOwnerMoves(count)
 }
 
+// evacuationDivisor bounds the slices that move at once because of an evacuation, as a divisor of all slices. Each owner that
+// hands slices over changes the table, and slices aren't served while they move.
+const evacuationDivisor = 4
+
+// moveAll sets targets for all slices of an owner and returns their number.
+func (p *planner) moveAll(o Owner, count map[Owner]int) int {
+	moved, fairShare := 0, len(p.table.Slices)/len(p.usable)+1
+	var previous Owner
+	for i, s := range p.table.Slices {
+		if owner, found := p.table.OwnerOf(i); found && owner == o && s.Target == 0 {
+			to := p.fewestSlices(count)
+			if fairShare > slicesPerOwner && slices.Contains(p.usable, previous) && count[previous] < fairShare {
+				to = previous
+			}
+			p.setTarget(i, to, count)
+			moved++
+		}
+		previous, _ = p.table.OwnerOf(i)
+		if target, found := p.table.TargetOf(i); found {
+			previous = target
+		}
+	}
+	return moved
+}
+
 func (p *planner) setTarget(slice int, to Owner, count map[Owner]int) {
 	from, _ := p.table.OwnerOf(slice)
 	count[from]--
@@ -242,9 +289,13 @@
 		if float64(count[o]) >= newOwnerShare*float64(fairShare) {
 			continue
 		}
+		share := fairShare
+		if c, _ := p.candidate(o.Member); c.Returning {
+			share /= returningDivisor
+		}
 		// The step size scatters the slices of the new owner over the keys.
 		n := len(p.table.Slices)
-		for j, i := 0, 0; count[o] < fairShare && j < n; j, i = j+1, (i+fillStep)%n {
+		for j, i := 0, 0; count[o] < share && j < n; j, i = j+1, (i+fillStep)%n {
 			from, found := p.table.OwnerOf(i)
 			if found && p.table.Slices[i].Target == 0 && from != o && count[from] > fairShare {
 				p.setTarget(i, o, count)
@@ -253,5 +304,9 @@
 	}
 }
 
+// returningDivisor is the part of the fair share that an owner gets back at once after an evacuation, as a divisor. Balancing
+// by load gives it the rest.
+const returningDivisor = 6
+
 // fillStep is a prime larger than maxSlices, so that stepping by it modulo the number of slices visits every slice.
 const fillStep = 10_007
