executor, forwarder: no requests to servers of an evacuated zone

Cause: entries chose servers of evacuated zones and the processes there sent them requests. Change: entries skip such servers, and owners of keys from a later time on; the process beside a server refuses with the reason evacuated (not run), also what waited for a slot. Servers that come back start the ramp of the balancer anew. With all zones evacuated the refusal comes at once.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -38,6 +38,8 @@
 	Quarantine *quarantiner.Tracker
 	// OnCrash is called when the server has crashed while it ran requests.
 	OnCrash func(applier.Suspect)
+	// OnEvacuated is called for each job that is refused because the availability zone is evacuated.
+	OnEvacuated func()
 	// OnSenderLeft is called for each job that isn't sent to the server because its sender has left.
 	OnSenderLeft func(watcher.Departure)
 }
@@ -51,6 +53,9 @@
 	// RefuseFrom is the time from which a draining server gets no new requests, or zero. Requests for keys are refused
 	// from RefuseKeyedFrom on, since only this server can run them until its keys have moved.
 	RefuseFrom, RefuseKeyedFrom time.Duration
+	// EvacuatedFrom is the time from which the server gets no requests because its availability zone is evacuated, or zero,
+	// and KeyedEvacuatedFrom that for requests for keys.
+	EvacuatedFrom, KeyedEvacuatedFrom time.Duration
 	// ColdUntil is the time until which the server is cold, or zero, and ColdRate the number of requests per second that it
 	// tolerates until then.
 	ColdUntil time.Duration
@@ -110,6 +115,9 @@
 	if c.OnCrash == nil {
 		c.OnCrash = func(applier.Suspect) {}
 	}
+	if c.OnEvacuated == nil {
+		c.OnEvacuated = func() {}
+	}
 	if c.OnSenderLeft == nil {
 		c.OnSenderLeft = func(watcher.Departure) {}
 	}
@@ -179,6 +187,9 @@
 	r.Load = g.load()
 	instance := g.server.Instance
 	g.mu.Unlock()
+	if r.Reason == Evacuated {
+		g.config.OnEvacuated()
+	}
 	if r.Outcome != Answered {
 		_ = g.config.Logger.Log("event", "job", "id", j.ID, "rank", j.Rank, "key", j.Key, "keyed", j.Keyed, "instance", instance,
 			"outcome", r.Outcome, "reason", r.Reason, "reached", r.Reached, "running", r.Load.Running, "waiting", r.Load.Waiting,
@@ -266,6 +277,9 @@
 	case !j.Keyed && s.RefuseFrom != 0 && now >= s.RefuseFrom,
 		j.Keyed && s.RefuseKeyedFrom != 0 && now >= s.RefuseKeyedFrom:
 		return refuse(Draining)
+	case !j.Keyed && s.EvacuatedFrom != 0 && now >= s.EvacuatedFrom,
+		j.Keyed && s.KeyedEvacuatedFrom != 0 && now >= s.KeyedEvacuatedFrom:
+		return refuse(Evacuated)
 	case j.Keyed && !g.config.Permits(now, j.Key):
 		return refuse(NotOwner)
 	}
--- a/executor/job.go
+++ b/executor/job.go
@@ -47,6 +47,7 @@
 	ServerStalled                    // server_silent
 	LinkBusy                         // link_busy
 	Poison                           // poison
+	Evacuated                        // evacuated
 	reasonCount
 )
 
--- a/executor/names.go
+++ b/executor/names.go
@@ -45,12 +45,13 @@
 	_ = x[ServerStalled-14]
 	_ = x[LinkBusy-15]
 	_ = x[Poison-16]
-	_ = x[reasonCount-17]
+	_ = x[Evacuated-17]
+	_ = x[reasonCount-18]
 }
 
-const _Reason_name = "nonedrainingno_servernot_owneroverloadeddeadline_too_closeserver_refusedconnection_failedconnection_lostspoiled_answerdeadline_passedcaller_gonestoppingpeer_unreachableserver_silentlink_busypoisonreasonCount"
+const _Reason_name = "nonedrainingno_servernot_owneroverloadeddeadline_too_closeserver_refusedconnection_failedconnection_lostspoiled_answerdeadline_passedcaller_gonestoppingpeer_unreachableserver_silentlink_busypoisonevacuatedreasonCount"
 
-var _Reason_index = [...]uint8{0, 4, 12, 21, 30, 40, 58, 72, 89, 104, 118, 133, 144, 152, 168, 181, 190, 196, 207}
+var _Reason_index = [...]uint8{0, 4, 12, 21, 30, 40, 58, 72, 89, 104, 118, 133, 144, 152, 168, 181, 190, 196, 205, 216}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -30,9 +30,13 @@
 	View                  func() *registrar.View
 	// Evacuated reports whether an availability zone is evacuated, so that its servers get no requests. Nil means none.
 	Evacuated func(zone string) bool
-	Local     *executor.Executor
-	Peers     *Peers
-	Logger    log.Logger
+	// KeysRefused reports whether the servers of an evacuated zone no longer get requests for keys either. Nil means none.
+	KeysRefused func(zone string) bool
+	// RestoredAt returns when the evacuation of a zone was seen to end, or zero. Nil means never.
+	RestoredAt func(zone string) time.Duration
+	Local      *executor.Executor
+	Peers      *Peers
+	Logger     log.Logger
 	// TransparentRetries is the retry budget, per service, for requests that a server refused to run, and Retries the
 	// one for requests that may have run. The nested calls of a retried request count as retries of the services that
 	// they call.
@@ -113,6 +117,15 @@
 	if c.Quarantine == nil {
 		c.Quarantine = quarantiner.NewTracker(quarantiner.Config{})
 	}
+	if c.Evacuated == nil {
+		c.Evacuated = func(string) bool { return false }
+	}
+	if c.KeysRefused == nil {
+		c.KeysRefused = func(string) bool { return false }
+	}
+	if c.RestoredAt == nil {
+		c.RestoredAt = func(string) time.Duration { return 0 }
+	}
 	if c.OnSenderLeft == nil {
 		c.OnSenderLeft = func(watcher.Departure) {}
 	}
--- a/forwarder/forwarding.go
+++ b/forwarder/forwarding.go
@@ -35,6 +35,8 @@
 	// lastAnswered is the latest result with a response. A further attempt follows only if that was a server error.
 	lastAnswered *executor.Result
 	lastMember   string
+	// evacuated means that a member was skipped because its availability zone is evacuated.
+	evacuated bool
 	// refusedBy is, of the refusals for which members were skipped, the one whose member expects room first.
 	refusedBy *refusal
 }
@@ -79,9 +81,11 @@
 			if p.refusedBy != nil {
 				return p.refusedBy.result(timer.Now())
 			}
-			return executor.Result{
-				Outcome: executor.NotRun, Reason: executor.NoServer, RetryAfter: notReadyRetryAfter,
+			reason := executor.NoServer
+			if p.evacuated {
+				reason = executor.Evacuated
 			}
+			return executor.Result{Outcome: executor.NotRun, Reason: reason, RetryAfter: notReadyRetryAfter}
 		}
 		last = p.attempt(ctx, m)
 		if !p.shouldRetry(ctx, last) {
@@ -106,6 +110,11 @@
 			if !p.shouldRetry(ctx, last) {
 				return last
 			}
+		} else if p.evacuated && last.Outcome == executor.NotRun {
+			last.Reason = executor.Evacuated
+			if p.allKeysRefused() {
+				return last
+			}
 		}
 		notReached := last.Outcome == executor.NotRun && !last.Reached
 		if notReached && last.Reason == executor.NotOwner && p.lastMember != "" && p.forwarder.config.Refresh != nil {
@@ -134,12 +143,23 @@
 		return registrar.Member{}, false
 	}
 	m, found := v.Members[o.Member]
-	if !found || m.Peer != p.ownPeer() && p.forwarder.config.Peers.DownFor(m.Peer) > 0 {
+	p.evacuated = found && p.forwarder.config.KeysRefused(m.Zone)
+	if !found || p.evacuated || m.Peer != p.ownPeer() && p.forwarder.config.Peers.DownFor(m.Peer) > 0 {
 		return registrar.Member{}, false
 	}
 	return m, true
 }
 
+// allKeysRefused reports whether no key can move to a server that gets requests, since all zones are evacuated.
+func (p *forwardedRequest) allKeysRefused() bool {
+	for _, m := range p.forwarder.config.View().ByService[p.match.Service.Name] {
+		if !p.forwarder.config.Evacuated(m.Zone) {
+			return false
+		}
+	}
+	return true
+}
+
 func (p *forwardedRequest) ownPeer() netip.AddrPort {
 	return p.forwarder.config.View().Members[p.forwarder.config.Member].Peer
 }
@@ -157,6 +177,10 @@
 		if m.State != registrar.Ready || m.Stopping || p.wasTried(m.Name) || p.forwarder.config.Peers.DownFor(m.Peer) > 0 {
 			continue
 		}
+		if p.forwarder.config.Evacuated(m.Zone) {
+			p.evacuated = true
+			continue
+		}
 		if e, refused := p.service.linkRefusals.lookUp(refusalKey{m.Name, p.match.Rank}, now); refused {
 			if p.refusedBy == nil || e.retryAt < p.refusedBy.retryAt {
 				p.refusedBy = &e
@@ -165,6 +189,9 @@
 		}
 		c := balancer.Candidate{ID: memberID(m.Name), Zone: m.Zone, Slots: m.Slots}
 		c.Age = p.service.ages.of(now, m.Name)
+		if at := p.forwarder.config.RestoredAt(m.Zone); at != 0 {
+			c.Age = min(c.Age, now-at)
+		}
 		if l, known := p.service.loads[m.Name]; known {
 			c.ReportedInFlight, c.ReportAge = l.Running+l.Waiting, now-l.reportedAt
 		}
