sidecar, platform: evacuations are read, passed on and kept

Change: reads of the configuration feed the set; sync requests and answers carry it, and one that waits is answered when it changes. Keys move out, and owners in evacuated zones take no part in balancing. Log lines, a gauge and a counter. Measured: on the code before, all six tests of sidecar/evacuation_test.go fail ("a request reached an evacuated zone" in TestEvacuation, TestQuickEvacuations and TestEvacuationAmidChanges; status 200 in TestAllZonesEvacuated; "all sidecars know" never satisfied in TestEvacuationIsLearned). They pass now, beside other work on the machine.

--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -180,6 +180,7 @@
 		// Nothing else shows that the store answers again while others read the records.
 		a.storeHealth.markUp()
 	}
+	a.applyEvacuationRecords(read, answer)
 	// A process that has missed many versions reads only the newest one next.
 	r.next, r.loaded = answer.next, read.newest || answer.completeAt != 0
 	if e, found := newestConfiguration(answer.entries); found {
@@ -191,6 +192,10 @@
 		confirmed = answer.start
 	}
 	a.configurationAge.Confirm(confirmed)
+	if a.evacuations.Known() && !a.evacuations.Covers(registrar.Position{Offset: answer.next}) {
+		// Versions were skipped, and with them perhaps records of evacuations that no other process knows.
+		r.loaded = false
+	}
 	return len(answer.entries), nil
 }
 
--- a/sidecar/heartbeat.go
+++ b/sidecar/heartbeat.go
@@ -112,7 +112,7 @@
 	if !current {
 		return response, false
 	}
-	s.lastHeartbeat, s.service, s.slots = now, h.Service, h.Slots
+	s.lastHeartbeat, s.service, s.slots, s.returnedAt = now, h.Service, h.Slots, 0
 	a.logGrants(now, h, response)
 	// An earlier process may have acknowledged the drain at an unknown time.
 	s.drainOver = s.drainOver || h.Draining && unheard && !a.knowsLeavings(h.Incarnation)
--- a/sidecar/meters.go
+++ b/sidecar/meters.go
@@ -37,6 +37,7 @@
 	a.metrics.set.NewGauge("hibiscus_link_backlog_seconds", func() float64 { return a.link.Backlog().Seconds() })
 	a.metrics.set.NewGauge("hibiscus_configuration_age_seconds", func() float64 { return a.configurationAge.Age(timer.Now()).Seconds() })
 	a.metrics.set.NewGauge("hibiscus_store_answered_seconds", func() float64 { return a.store.AnsweredFor(timer.Now()).Seconds() })
+	a.metrics.set.NewGauge("hibiscus_zones_evacuated", func() float64 { return float64(len(a.evacuations.Zones())) })
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { a.metrics.set.WritePrometheus(w) })
 	mux.HandleFunc("GET /dump", a.serveDump)
 	return mux
--- a/sidecar/plan.go
+++ b/sidecar/plan.go
@@ -140,9 +140,11 @@
 		},
 	}
 	for _, m := range v.ByService[service] {
+		_, evacuated := a.evacuations.Evacuated(m.Zone)
 		view.Candidates = append(view.Candidates, assigner.Candidate{
-			Owner: m.Owner(), Usable: m.State == registrar.Ready && !m.Stopping,
+			Owner: m.Owner(), Usable: m.State == registrar.Ready && !m.Stopping && !evacuated,
 			Ended: m.State == registrar.Ended, Leaving: m.State == registrar.Draining,
+			Evacuated: evacuated && m.State == registrar.Ready, Returning: a.returning(m.Zone),
 			Unreachable: m.Name != a.settings.Name && a.peers.DownFor(m.Peer) > 0,
 		})
 	}
@@ -184,7 +186,7 @@
 	v := a.registrar.View()
 	t := v.Tables[a.settings.Service]
 	own, known := v.Members[a.settings.Name]
-	if t == nil || !known || own.State != registrar.Ready {
+	if t == nil || !known || own.State != registrar.Ready || a.isEvacuated(own.Zone) {
 		return false
 	}
 	self := own.Owner()
@@ -192,7 +194,7 @@
 	offeredLoads := a.forwarder.Loads(a.settings.Service)
 	for _, m := range v.ByService[a.settings.Service] {
 		offered, recent := offeredLoads[m.Name]
-		if recent && m.Name != own.Name && m.State == registrar.Ready && !m.Stopping {
+		if recent && m.Name != own.Name && m.State == registrar.Ready && !m.Stopping && !a.isEvacuated(m.Zone) {
 			loads = append(loads, assigner.Load{Owner: m.Owner(), Offered: offered})
 		}
 	}
--- a/sidecar/server.go
+++ b/sidecar/server.go
@@ -32,6 +32,8 @@
 	// number of grants in it.
 	renewed    bool
 	grantCount int
+	// returnedAt is when the evacuation of the zone ended, if there was no heartbeat since then. The server may be cold.
+	returnedAt time.Duration
 	// deregistered means that the server has announced its shutdown.
 	deregistered bool
 }
@@ -139,7 +141,7 @@
 func (a *Sidecar) updateExecutor() {
 	s := a.server
 	g := executor.Server{}
-	if a.leavingsKnown && !s.unconfirmed && s.state.Running() {
+	if a.leavingsKnown && !s.unconfirmed && s.state.Running() && a.knowsEvacuations() {
 		g = executor.Server{Instance: s.incarnation.Instance, Service: s.service, Slots: s.slots}
 	}
 	switch {
@@ -150,6 +152,7 @@
 		g.RefuseFrom = s.drainingSince + time.Duration(drainCutoffShare*drain)
 		g.RefuseKeyedFrom = s.drainingSince + time.Duration(keyedDrainCutoffShare*drain)
 	}
+	a.addEvacuation(&g)
 	a.executor.SetServer(g)
 }
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -18,6 +18,7 @@
 	"hibiscusline/carrier"
 	"hibiscusline/confirmer"
 	"hibiscusline/delegator"
+	"hibiscusline/evacuator"
 	"hibiscusline/executor"
 	"hibiscusline/forwarder"
 	"hibiscusline/granter"
@@ -83,7 +84,9 @@
 	configurationAge *confirmer.Confirmer
 	// configurationUnreadable means that this process can't read the store's newest configuration. Others may be able to.
 	configurationUnreadable atomic.Bool
-	storeHealth             dependency
+	// evacuations is the set of evacuated availability zones.
+	evacuations *evacuator.Set
+	storeHealth dependency
 	// latencies are those of the store's answers without records.
 	latencies answerLatencies
 	// lastRefresh is the time of the latest refreshFrom.
@@ -162,7 +165,7 @@
 		suspectedSince: map[suspicionKey]time.Duration{}, planWake: make(chan struct{}, 1),
 		publishWake: make(chan struct{}, 1), callWake: make(chan struct{}, 1),
 		newerConfig: make(chan struct{}, 1), documentWake: make(chan struct{}, 1),
-		configurationAge: confirmer.New(timer.Now(), bounds.Configuration),
+		configurationAge: confirmer.New(timer.Now(), bounds.Configuration), evacuations: evacuator.New(),
 	}
 	a.loadedSettings = s
 	a.heartbeat.Store(int64(s.Heartbeat))
@@ -194,6 +197,7 @@
 		OnConnectionRefused: a.handleConnectionRefused, OnKeyRefused: a.refuseKey, Link: a.link, Budget: budget,
 		Quarantine: a.quarantine, OnCrash: a.handleCrash,
 		OnSenderLeft: func(d watcher.Departure) { a.metrics.senderLeft("server", d) },
+		OnEvacuated:  func() { a.metrics.count("hibiscus_evacuation_refusals_total") },
 	})
 	a.forwarder = forwarder.New(forwarder.Config{
 		Member: s.Name, Zone: s.Zone, Service: s.Service, View: a.registrar.View, Local: a.executor, Peers: a.peers,
@@ -201,6 +205,7 @@
 		Seed: rand.Uint64(), Quarantine: a.quarantine,
 		Observe: a.metrics.request, Limit: a.limitToGrace, Refresh: a.refreshFrom,
 		Freshness: a.freshness, MaxAge: bounds.Configuration,
+		Evacuated: a.isEvacuated, KeysRefused: a.refusesKeys, RestoredAt: a.evacuations.RestoredAt,
 		OnSenderLeft: func(d watcher.Departure) { a.metrics.senderLeft("entry", d) },
 	})
 	a.callerServer = carrier.NewServer(carrier.ServerConfig{
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -93,6 +93,8 @@
 	// lateShare is the share of the grants by request that get no answer and are applied later.
 	lateShare     float64
 	stock, orders int
+	// zones is the number of availability zones, to which the nodes belong in turn. Zero means one.
+	zones int
 	// adjust, if it isn't nil, changes the cluster before its sidecars get their settings.
 	adjust func(*cluster)
 }
@@ -117,6 +119,8 @@
 		}
 		n := s.newNode(i, service)
 		n.settings.Grants = c.form
+		n.settings.Zone = fmt.Sprintf("zone-%c", 'a'+i%max(c.zones, 1))
+		n.config.Zone = n.settings.Zone
 		if s.proxyStore != nil {
 			n.settings.Store = s.proxyStore(n)
 		}
--- a/sidecar/sync.go
+++ b/sidecar/sync.go
@@ -53,6 +53,7 @@
 	for timer.Sleep(ctx, gossipInterval+rand.N(gossipInterval/4)) {
 		a.checkConfigurationAge()
 		a.quarantine.Expire(timer.Now())
+		a.applyEvacuations(a.evacuations.Expire(timer.Now()), "era")
 		peer, found := a.randomPeer()
 		if !found {
 			continue
@@ -121,6 +122,7 @@
 	a.addReport(query)
 	header := http.Header{}
 	a.addSuspects(header)
+	a.addEvacuations(header)
 	r, err := a.peers.ExchangeUntracked(ctx, p.peer, p.bound, &carrier.Request{
 		Method: http.MethodGet, Target: syncPath + "?" + query.Encode(), Host: p.peer.String(), Header: header,
 		OnProgress: p.onProgress,
@@ -133,6 +135,8 @@
 	if err := cbor.Unmarshal(r.Body, &n); err != nil {
 		return -1, errors.Wrap(err, "decode sync response")
 	}
+	// The response was created at least Held after the request was sent.
+	a.observeEvacuations(r.Header, start+time.Duration(n.Held)*time.Microsecond, p.peer.String())
 	age, readStart := time.Duration(n.Age)*time.Microsecond, time.Duration(0)
 	if n.Age >= 0 && n.End >= a.registrar.View().End {
 		// The response was created at least Held after the request was sent. suspectMargin covers the drift of the
@@ -244,7 +248,10 @@
 	}
 	a.observeReport(query)
 	a.observeSuspects(q.Header)
-	a.awaitUpdates(ctx, from, version, min(time.Duration(wait)*time.Millisecond, maxSyncWait))
+	// The request may have been on its way for a time.
+	evacuations, known := a.observeEvacuations(q.Header, q.Received-gossipTimeout, peer.String())
+	limit := min(time.Duration(wait)*time.Millisecond, maxSyncWait)
+	a.awaitUpdates(ctx, from, version, limit, func() bool { return known && a.evacuations.News(timer.Now(), evacuations) })
 	// Earlier releases don't send the parameter patches.
 	d := documentQuery{version: version, whole: document, patches: query.Get("patches") == "true"}
 	n, header := a.updatesSince(from, q.Received, d)
@@ -306,10 +313,11 @@
 // before syncTimeout, since it takes a process that doesn't answer for lost.
 const maxTurnWait = syncTimeout * 2 / 3
 
-// awaitUpdates waits up to a limit while this sidecar has the same records and configuration as the requesting one.
-func (a *Sidecar) awaitUpdates(ctx context.Context, from, version uint64, limit time.Duration) {
+// awaitUpdates waits up to a limit while this sidecar has the same records and configuration as the requesting one and no other
+// news for it.
+func (a *Sidecar) awaitUpdates(ctx context.Context, from, version uint64, limit time.Duration, news func() bool) {
 	a.waitUntil(ctx, limit, func() bool {
-		return a.registrar.View().End != from || a.version() != version || a.stopping.Load()
+		return a.registrar.View().End != from || a.version() != version || a.stopping.Load() || news()
 	})
 }
 
@@ -360,6 +368,8 @@
 			header.Set(offsetField, strconv.FormatUint(c.offset, 10))
 		}
 	}
+	// These are at least as new as the confirmation above.
+	a.addEvacuations(header)
 	return n, header
 }
 
