evacuator, executor: a rule less, a refusal that earlier releases understand

Cause: the rule of old records in Read changed nothing when it was dropped; earlier releases take an unknown reason for a malformed answer. Change: it is gone; the reason evacuated is sent as draining with a field beside it.

--- a/evacuator/evacuator.go
+++ b/evacuator/evacuator.go
@@ -60,9 +60,7 @@
 		maps.Copy(next.Records, s.state.Records)
 	}
 	for _, r := range records {
-		known, found := next.Records[r.Zone]
-		isNew := !s.state.Known || r.Position.Compare(s.state.Complete) >= 0
-		if isNew && (!found || known.Position.Compare(r.Position) < 0) {
+		if known, found := next.Records[r.Zone]; !found || known.Position.Compare(r.Position) < 0 {
 			next.Records[r.Zone] = r
 		}
 	}
--- a/evacuator/evacuator_test.go
+++ b/evacuator/evacuator_test.go
@@ -120,6 +120,9 @@
 	require.Zero(t, s.RestoredAt("a"))
 	require.Equal(t, []Change{{Record{Zone: "a", Position: at(9)}}}, s.List(5, at(9), nil))
 	require.Equal(t, time.Duration(5), s.RestoredAt("a"))
+	s.Read(6, at(12), at(13), []Record{{Zone: "a", Position: at(12)}})
+	late := State{Known: true, Complete: at(11), Records: map[string]Record{"a": {Zone: "a", Position: at(10), Evacuated: true}}}
+	require.Empty(t, s.Merge(7, late), "a record behind it takes that evacuation back")
 }
 
 // TestAges guards against a process that learns late and takes an evacuation for a new one.
--- a/executor/job.go
+++ b/executor/job.go
@@ -126,6 +126,8 @@
 	loadField       = "Hibiscus-Load"
 	reachedField    = "Hibiscus-Reached"
 	crashesField    = "Hibiscus-Crashes"
+	// evacuatedField stands beside the reason Draining in place of Evacuated, which earlier releases don't know.
+	evacuatedField = "Hibiscus-Evacuated"
 )
 
 // EncodeJob returns the request that carries a job to another sidecar.
@@ -209,6 +211,9 @@
 	h := response.Header
 	h[outcomeField] = []string{strconv.Itoa(int(r.Outcome))}
 	h[reasonField] = []string{strconv.Itoa(int(r.Reason))}
+	if r.Reason == Evacuated {
+		h[reasonField], h[evacuatedField] = []string{strconv.Itoa(int(Draining))}, []string{"1"}
+	}
 	if r.RetryAfter > 0 {
 		h[retryAfterField] = []string{strconv.FormatInt(r.RetryAfter.Milliseconds(), 10)}
 	}
@@ -237,6 +242,9 @@
 		return Result{}, errors.New("sidecar response without a valid reason")
 	}
 	r := Result{Outcome: Outcome(outcome), Reason: Reason(reason), Reached: h.Get(reachedField) != ""}
+	if r.Reason == Draining && h.Get(evacuatedField) != "" {
+		r.Reason = Evacuated
+	}
 	if text := h.Get(retryAfterField); text != "" {
 		ms, err := strconv.ParseInt(text, 10, 64)
 		if err != nil {
