sidecar: an evacuation that is read again keeps its age

Cause: the time before which a record was not there was taken when it was applied. A record that was known already, or that others knew and confirmed while the answer was on its way, became younger, and its evacuation was in force later. Change: the time is taken before the read, and none for a record that was known then. Measured: TestEvacuationKeepsItsAge failed before: "difference was -1.+07".

--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -162,7 +162,7 @@
 	if read.newest {
 		read.hold = waiter.Hold{}
 	}
-	start := timer.Now()
+	known, start := a.evacuationKnowledge(), timer.Now()
 	answer, err := a.readStore(ctx, read)
 	if took := timer.Now() - start; err != nil || took > read.hold.Duration()+slowConfigurationRead {
 		_ = a.logger.Log("event", "configuration_read", "loaded", r.loaded, "from", r.next, "records", len(answer.entries),
@@ -180,7 +180,7 @@
 		// Nothing else shows that the store answers again while others read the records.
 		a.storeHealth.markUp()
 	}
-	a.applyEvacuationRecords(read, answer)
+	a.applyEvacuationRecords(known, read, answer)
 	// A process that has missed many versions reads only the newest one next.
 	r.next, r.loaded = answer.next, read.newest || answer.completeAt != 0
 	if e, found := newestConfiguration(answer.entries); found {
--- a/sidecar/evacuation.go
+++ b/sidecar/evacuation.go
@@ -51,18 +51,39 @@
 	return s, true
 }
 
-// applyEvacuationRecords adopts the evacuations among the records of a read of the configuration.
-func (a *Sidecar) applyEvacuationRecords(r storeRead, answer storeAnswer) {
-	now, since := timer.Now(), time.Duration(0)
+// evacuationKnowledge is what is known of evacuations before a read of the configuration.
+type evacuationKnowledge struct {
+	// since is the time up to which the state has all records, or zero.
+	since time.Duration
+	state evacuator.State
+}
+
+// evacuationKnowledge returns what is known of evacuations.
+func (a *Sidecar) evacuationKnowledge() evacuationKnowledge {
+	var k evacuationKnowledge
+	now := timer.Now()
 	if age, confirmed := a.configurationAge.Confirmed(now); confirmed {
-		since = now - age
+		k.since = now - age
 	}
+	// The state must not be older than the time.
+	k.state = a.evacuations.State()
+	return k
+}
+
+// applyEvacuationRecords adopts the evacuations among the records of a read of the configuration, given what was known before it.
+func (a *Sidecar) applyEvacuationRecords(k evacuationKnowledge, r storeRead, answer storeAnswer) {
+	now := timer.Now()
 	var records []evacuator.Record
 	for _, e := range answer.entries {
-		if zone, found := platform.EvacuatedZone(e.Key); found {
-			position := registrar.Position{Offset: e.Offset}
-			records = append(records, evacuator.Record{Zone: zone, Position: position, Evacuated: len(e.Value) > 0, Since: since})
+		zone, found := platform.EvacuatedZone(e.Key)
+		if !found {
+			continue
+		}
+		n := evacuator.Record{Zone: zone, Position: registrar.Position{Offset: e.Offset}, Evacuated: len(e.Value) > 0}
+		if known, found := k.state.Records[zone]; !found || known.Position != n.Position {
+			n.Since = k.since
 		}
+		records = append(records, n)
 	}
 	first, end := !a.evacuations.Known(), registrar.Position{Offset: answer.next}
 	if r.newest {
