Merge evacuation: no requests to the servers of an evacuated availability zone

A server whose zone returns counts as cold by the signal of package limiter (source restored) in place of a time of its own.

--- a/limiter/names.go
+++ b/limiter/names.go
@@ -12,12 +12,13 @@
 	_ = x[NewServer-1]
 	_ = x[NewProcess-2]
 	_ = x[Silence-3]
-	_ = x[Report-4]
+	_ = x[Restored-4]
+	_ = x[Report-5]
 }
 
-const _Source_name = "nonenew_servernew_processsilencereport"
+const _Source_name = "nonenew_servernew_processsilencerestoredreport"
 
-var _Source_index = [...]uint8{0, 4, 14, 25, 32, 38}
+var _Source_index = [...]uint8{0, 4, 14, 25, 32, 40, 46}
 
 func (i Source) String() string {
 	idx := int(i) - 0
--- a/limiter/signal.go
+++ b/limiter/signal.go
@@ -16,6 +16,8 @@
 	NewProcess // new_process
 	// Silence means that the server neither reports nor answers.
 	Silence // silence
+	// Restored means that the evacuation of the availability zone has ended.
+	Restored // restored
 	// Report means that the server has said it.
 	Report // report
 )
--- a/sidecar/server.go
+++ b/sidecar/server.go
@@ -142,7 +142,7 @@
 func (a *Sidecar) updateExecutor() {
 	s := a.server
 	g := executor.Server{}
-	if a.leavingsKnown && !s.unconfirmed && s.state.Running() {
+	if a.leavingsKnown && !s.unconfirmed && s.state.Running() && a.knowsEvacuations() {
 		g = executor.Server{Instance: s.incarnation.Instance, Service: s.service, Slots: s.slots}
 	}
 	a.setCold(&g)
@@ -154,6 +154,7 @@
 		g.RefuseFrom = s.drainingSince + time.Duration(drainCutoffShare*drain)
 		g.RefuseKeyedFrom = s.drainingSince + time.Duration(keyedDrainCutoffShare*drain)
 	}
+	a.addEvacuation(&g)
 	a.executor.SetServer(g)
 }
 
