--- a/sidecar/cold.go
+++ b/sidecar/cold.go
@@ -19,6 +19,9 @@
 	logged bool
 	// silent is whether the server was taken to be cold because it was silent, since its latest heartbeat.
 	silent bool
+	// early is the latest heartbeat before the first configuration, which arrived at earlyAt.
+	early   platform.BackendHeartbeat
+	earlyAt time.Duration
 }
 
 // serviceOf returns the service of the server as the configuration in force describes it. The cold time and the rate of a
@@ -46,6 +49,9 @@
 // observeCold applies the cold time of a heartbeat. The caller holds mu.
 func (a *Sidecar) observeCold(now time.Duration, h platform.BackendHeartbeat) {
 	s := a.serviceOf(h.Service)
+	if a.forwarder.Routes() == nil {
+		a.server.cold.early, a.server.cold.earlyAt = h, now
+	}
 	if s.ColdRate <= 0 {
 		return
 	}
@@ -108,15 +114,19 @@
 	gauge("hibiscus_server_cold_seconds_total", func(c executor.ColdCounts) float64 { return c.Time.Seconds() })
 }
 
-// applyColdRate passes the rate of a new configuration to the executor. A server that was heard of before the first
-// configuration counts as cold until its next heartbeat.
+// applyColdRate passes the rate of a new configuration to the executor. What the server said before the first configuration
+// counts from then; one that has not been heard of is cold until its next heartbeat.
 func (a *Sidecar) applyColdRate() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.server.service == "" {
 		return
 	}
-	if a.server.cold.Source() == limiter.NoSource {
+	switch c := a.server.cold; {
+	case c.Source() != limiter.NoSource:
+	case c.early.ColdKnown:
+		a.observeCold(c.earlyAt, c.early)
+	default:
 		a.assumeCold(timer.Now(), a.server.service, limiter.NewProcess)
 	}
 	a.updateExecutor()
--- a/sidecar/cold_test.go
+++ b/sidecar/cold_test.go
@@ -51,6 +51,16 @@
 	a.handleHeartbeat(timer.Now(), coldHeartbeat(2, 3, 0))
 	require.Zero(t, coldFor())
 
+	for _, left := range []time.Duration{0, 2 * time.Second} {
+		early := newColdSidecar(16)
+		routes := early.forwarder.Routes()
+		early.forwarder.SetRoutes(nil)
+		early.handleHeartbeat(timer.Now(), coldHeartbeat(1, 1, left))
+		early.forwarder.SetRoutes(routes)
+		early.applyColdRate()
+		require.InDelta(t, left.Seconds(), early.executor.Load().ColdFor.Seconds(), 0.5, "a heartbeat before the configuration")
+	}
+
 	never := newColdSidecar(0)
 	never.handleHeartbeat(timer.Now(), coldHeartbeat(1, 1, 2*time.Second))
 	require.Zero(t, never.executor.Load().ColdFor, "a service without a cold rate")
