--- a/executor/evacuation_test.go
+++ b/executor/evacuation_test.go
@@ -30,7 +30,8 @@
 	<-started
 	waiting := run(newJob("b", 10*time.Second))
 	require.Eventually(t, func() bool { return g.Load().Waiting == 1 }, 5*time.Second, time.Millisecond)
-	s := executor.Server{Instance: "i-1", Service: "stock", Slots: 1, EvacuatedFrom: timer.Now(), KeyedEvacuatedFrom: timer.Now() + time.Hour}
+	now := timer.Now()
+	s := executor.Server{Instance: "i-1", Service: "stock", Slots: 1, EvacuatedFrom: now, KeyedEvacuatedFrom: now + time.Hour}
 	g.SetServer(s)
 	require.Equal(t, executor.Evacuated, (<-run(newJob("c", 10*time.Second))).Reason)
 	close(end)
--- a/sidecar/evacuation.go
+++ b/sidecar/evacuation.go
@@ -17,8 +17,9 @@
 // evacuationsField is the field with the state of the evacuations.
 const evacuationsField = executor.FieldPrefix + "Evacuations"
 
-// Shares of the bound of an evacuation after which the server of the zone gets no more requests, counted from a time at which there was
-// no evacuation. Entries choose other servers as soon as they know. Requests for keys continue longer, until the keys have moved.
+// Shares of the bound of an evacuation after which the server of the zone gets no more requests, counted from a time at which
+// there was no evacuation. Entries choose other servers as soon as they know. Requests for keys continue longer, until the
+// keys have moved.
 const (
 	evacuationShare      = 0.25
 	keyedEvacuationShare = 0.9
@@ -117,12 +118,13 @@
 	for _, c := range changes {
 		r := c.Record
 		if !r.Evacuated {
-			_ = a.logger.Log("event", "evacuation_ended", "zone", r.Zone, "source", source, "era", r.Position.Era, "before", r.Position.Offset)
+			_ = a.logger.Log("event", "evacuation_ended", "zone", r.Zone, "source", source, "era", r.Position.Era,
+				"before", r.Position.Offset)
 			continue
 		}
 		from, keyedFrom := a.evacuationTimes(r)
-		_ = a.logger.Log("event", "evacuation_known", "zone", r.Zone, "source", source, "era", r.Position.Era, "offset", r.Position.Offset,
-			"in_force_ms", (from - now).Milliseconds(), "keys_in_force_ms", (keyedFrom - now).Milliseconds())
+		_ = a.logger.Log("event", "evacuation_known", "zone", r.Zone, "source", source, "era", r.Position.Era,
+			"offset", r.Position.Offset, "in_force_ms", (from - now).Milliseconds(), "keys_in_force_ms", (keyedFrom - now).Milliseconds())
 		time.AfterFunc(keyedFrom-now, func() { a.logInForce(r) })
 	}
 	a.mu.Lock()
--- a/sidecar/evacuation_test.go
+++ b/sidecar/evacuation_test.go
@@ -149,8 +149,8 @@
 	require.Contains(t, s.logs.String(), "event=evacuation_in_force")
 }
 
-// TestEvacuationIsLearned guards against processes that don't learn of an evacuation, because they rely on others for the store, the store
-// refuses them or they were started later, and against one that forgets it in an outage of the store.
+// TestEvacuationIsLearned guards against processes that don't learn of an evacuation, because they rely on others for the store,
+// the store refuses them or they were started later, and against one that forgets it in an outage of the store.
 func TestEvacuationIsLearned(t *testing.T) {
 	t.Parallel()
 	s := newClusterOf(t, clusterConfig{form: loader.GrantsByHeartbeat, stock: 3, orders: 6, zones: 3})
