assigner, registrar, granter: tables, views and grants of an era of the store

Change: tables name their era and settle after a change of it; the registrar replaces its view as a whole; the granter keeps what it had the right to as claims. docs/design/store-era.md. Not used by the processes yet. Measured: go test ./assigner ./registrar ./granter passes.

--- a/assigner/change.go
+++ b/assigner/change.go
@@ -14,6 +14,9 @@
 // Release returns the table in which the targets of the released slices own them, or nil if no slice changes. Slices
 // whose token has changed or that have no target are skipped. Each slice that changes its owner gets a new token.
 func Release(t *Table, by Owner, list []Released) *Table {
+	if t.Settling {
+		return nil
+	}
 	next := t.Clone()
 	changed := false
 	for _, r := range list {
--- a/assigner/plan.go
+++ b/assigner/plan.go
@@ -28,16 +28,16 @@
 	SuspectedFor func(Suspicion) time.Duration
 	// LeaseTerm is the time from the first read of a suspicion until all grants of the suspect have expired.
 	LeaseTerm time.Duration
+	// Era is the era of the store.
+	Era uint64
 }
 
 // Limits on the number of slices.
 const (
 	// slicesPerOwner is the number of slices of each owner in an even distribution.
 	slicesPerOwner = 180
-	// maxGrantsPerOwner limits the grants of one owner so that they fit into one heartbeat response of at most 4 KiB.
-	maxGrantsPerOwner = 320
-	minSlices         = 64
-	maxSlices         = 10_000
+	minSlices = 64
+	maxSlices = 10_000
 )
 
 // sliceCount returns the number of slices for a number of owners. All slices but the last have the same number of keys.
@@ -52,7 +52,10 @@
 func Plan(t *Table, in PlanInput) *Table {
 	usable := usableOwners(t, in)
 	if t == nil {
-		return initialTable(in.Service, usable)
+		return initialTable(in, usable)
+	}
+	if t.Settling || t.Era != in.Era {
+		return nil
 	}
 	p := planner{table: t.Clone(), input: in, usable: usable}
 	p.clearInvalid()
@@ -80,14 +83,21 @@
 }
 
 // initialTable assigns the slices round-robin, so that neighbouring slices have different owners.
-func initialTable(service string, owners []Owner) *Table {
+// Behind an era there may be a table that the store has lost, so the first one of a later era settles.
+func initialTable(in PlanInput, owners []Owner) *Table {
 	if len(owners) == 0 {
 		return nil
 	}
-	t := &Table{Service: service, Slices: make([]Slice, sliceCount(len(owners))), LastToken: 1}
+	t := &Table{Service: in.Service, Slices: make([]Slice, sliceCount(len(owners))), LastToken: 1}
 	for i := range t.Slices {
 		t.Slices[i] = Slice{Owner: t.ownerIndex(owners[i%len(owners)]), Token: 1}
 	}
+	if in.Era != 0 {
+		for i := range t.Slices {
+			t.Slices[i].Token = 0
+		}
+		return Open(t, in.Era)
+	}
 	return t
 }
 
@@ -193,7 +203,7 @@
 			}
 			last = s
 		}
-		if grantCount > maxGrantsPerOwner {
+		if grantCount > p.table.maxGrants() {
 			p.table.assign(o, list)
 			p.changed = true
 		}
--- a/assigner/rebalance.go
+++ b/assigner/rebalance.go
@@ -48,7 +48,7 @@
 	headroom := map[Owner]float64{}
 	count := t.SliceCounts()
 	for _, l := range loads {
-		if l.Owner != self && l.Offered < mean && count[l.Owner]+rebalanceMaxMoves <= maxGrantsPerOwner {
+		if l.Owner != self && l.Offered < mean && count[l.Owner]+rebalanceMaxMoves <= t.maxGrants() {
 			headroom[l.Owner] = mean - l.Offered
 		}
 	}
@@ -110,6 +110,9 @@
 // SetTargets returns the table with the targets of moves set, or nil if nothing changes. Slices that the owner no
 // longer owns or that already have a target are skipped.
 func SetTargets(t *Table, from Owner, moves []Move) *Table {
+	if t.Settling {
+		return nil
+	}
 	next := t.Clone()
 	changed := false
 	for _, m := range moves {
--- a/assigner/record.go
+++ b/assigner/record.go
@@ -25,6 +25,13 @@
 	Target     map[uint16]uint16
 }
 
+// trailer follows the compressed record of a table that was built in a later era than 0. Earlier releases ignore it.
+type trailer struct {
+	_        struct{} `cbor:",toarray"`
+	Era      uint64
+	Settling bool
+}
+
 // maxOwners limits the owners of a table. Slices refer to them by 16 bits, and a change may add some before it removes
 // those without slices.
 const maxOwners = math.MaxUint16 / 2
@@ -60,12 +67,18 @@
 	if err := w.Close(); err != nil {
 		return nil, errors.Wrap(err, "encode assignment table")
 	}
-	return b.Bytes(), nil
+	if t.Era == 0 {
+		return b.Bytes(), nil
+	}
+	end, err := cbor.Marshal(trailer{Era: t.Era, Settling: t.Settling})
+	return append(b.Bytes(), end...), errors.Wrap(err, "encode assignment table")
 }
 
 // Decode returns the table encoded in a record. It returns an error if the record is malformed.
 func Decode(data []byte) (*Table, error) {
-	decompressed, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxRecordBytes))
+	// The decompressor reads byte by byte, so it leaves what follows the compressed data.
+	reader := bytes.NewReader(data)
+	decompressed, err := io.ReadAll(io.LimitReader(flate.NewReader(reader), maxRecordBytes))
 	if err != nil {
 		return nil, errors.Wrap(err, "decode assignment table")
 	}
@@ -73,9 +86,24 @@
 	if err := cbor.Unmarshal(decompressed, &r); err != nil {
 		return nil, errors.Wrap(err, "decode assignment table")
 	}
-	return r.toTable()
+	t, err := r.toTable()
+	if err != nil || reader.Len() == 0 {
+		return t, err
+	}
+	var end trailer
+	if err := cbor.Unmarshal(data[len(data)-reader.Len():], &end); err != nil {
+		return nil, errors.Wrap(err, "decode assignment table")
+	}
+	if end.Era == 0 || end.Era > maxEra {
+		return nil, errors.Errorf("assignment table of %q: era %d out of range", r.Service, end.Era)
+	}
+	t.Era, t.Settling = end.Era, end.Settling
+	return t, nil
 }
 
+// maxEra bounds the eras, so that the counters of each have room.
+const maxEra = 1 << 32
+
 // maxCounter bounds the tokens and serials of a record. It leaves room for further increments.
 const maxCounter = 1 << 62
 
--- a/assigner/table.go
+++ b/assigner/table.go
@@ -56,6 +56,11 @@
 	LastSerial uint64
 	// Handovers holds, by slice, the state that the last owner left for the next one.
 	Handovers map[uint16]string
+	// Era is the era of the store in which the table was built.
+	Era uint64
+	// Settling means that the store has lost records since an earlier era, so that owners other than those of the table may
+	// hold slices. Only what an owner held before may be granted.
+	Settling bool
 }
 
 // Clone returns a deep copy of the table.
--- a/granter/calls.go
+++ b/granter/calls.go
@@ -128,6 +128,9 @@
 		return nothing
 	}
 	if g.ownsSlice(i) && g.table.Slices[i].Target == 0 {
+		if !g.mayGrant(i) {
+			return nothing
+		}
 		held := c.token == g.table.Slices[i].Token && now < c.grantedUntil
 		switch {
 		case hold < minHoldTime, g.disconnected:
@@ -403,8 +406,9 @@
 		return false
 	}
 	c := &g.calls[slice]
-	if c.token == g.table.Slices[slice].Token {
-		return now < c.grantedUntil && now < g.LeaseEnd()
+	if c.token != 0 && now < c.grantedUntil {
+		// The token of the table may be a later one, under which the slice is granted next.
+		return now < g.LeaseEnd()
 	}
 	return g.resumed && c.sentToken == 0 && now < g.earlierGrantsEnd
 }
--- a/granter/granter.go
+++ b/granter/granter.go
@@ -13,6 +13,10 @@
 	// sequence is the highest heartbeat sequence number of the incarnation.
 	sequence uint64
 	table    *assigner.Table
+	// era is the era of the store whose records were loaded, and claims holds the tokens of the slices to which the process had
+	// the right before.
+	era    uint64
+	claims map[int]uint64
 	// leaseStart is the start of the latest read that returned a table without a suspicion of this process. It is valid
 	// if hasLease is set.
 	leaseStart time.Duration
@@ -86,8 +90,8 @@
 // Observe sets the newest table and the start time of the read that returned it. For a read by another process,
 // readBegan must not be later than the actual start of that read.
 func (g *Granter) Observe(t *assigner.Table, readBegan time.Duration) {
-	if t != g.table {
-		g.setTable(t)
+	if !g.adopt(t) {
+		return
 	}
 	if t != nil && t.Suspected(g.config.Member) {
 		return
@@ -291,7 +295,7 @@
 	held := g.heldSlices(h.Holds)
 	size := 0
 	for i, s := range g.table.Slices {
-		if !g.ownsSlice(i) || s.Target != 0 {
+		if !g.mayGrant(i) {
 			g.omit(i, h.Sequence, held[i])
 			continue
 		}
@@ -322,6 +326,9 @@
 		r.Grants[n-1].Last = last
 	} else {
 		size += grantBytes + len(handover)
+		if token >= smallTokens {
+			size += largeTokenBytes
+		}
 		if size > maxResponseBytes {
 			g.omit(slice, g.sequence, held)
 			return size
@@ -358,7 +365,7 @@
 		return false
 	}
 	for i, s := range g.table.Slices {
-		if g.ownsSlice(i) && (s.Target == 0) != (g.grantedTokens[i] != 0) {
+		if g.ownsSlice(i) && (s.Target != 0 || g.mayGrant(i)) && (s.Target == 0) != (g.grantedTokens[i] != 0) {
 			return true
 		}
 	}
@@ -367,7 +374,5 @@
 
 // AdoptUnverified sets a table that may not be the newest. It may end grants but does not extend the lease.
 func (g *Granter) AdoptUnverified(t *assigner.Table) {
-	if t != g.table {
-		g.setTable(t)
-	}
+	g.adopt(t)
 }
--- a/granter/types.go
+++ b/granter/types.go
@@ -73,6 +73,9 @@
 	maxResponseBytes = 3800
 	// grantBytes is the maximum encoded size of a grant without handover, for tokens below 65,536.
 	grantBytes = 11
+	// smallTokens is the bound from which a token takes largeTokenBytes more.
+	smallTokens     = 1 << 16
+	largeTokenBytes = 2
 )
 
 // maxRealDuration returns the longest real time for which a grant may remain valid on a slow clock.
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"sync/atomic"
 
@@ -17,6 +18,13 @@
 	tablePrefix  = "table/"
 )
 
+// EraKey is the key of the record that marks the beginning of an era of the store. Table records behind it that were built in an
+// earlier era are ignored.
+const EraKey = "era"
+
+// EncodeEra returns the record that marks the beginning of an era.
+func EncodeEra(era uint64) []byte { return strconv.AppendUint(nil, era, 10) }
+
 // MemberKey returns the key of a member's record.
 func MemberKey(name string) string { return memberPrefix + name }
 
@@ -33,7 +41,8 @@
 
 // View is an immutable, consistent copy of the records, so it can be read without locks.
 type View struct {
-	// End is an offset below which the view has every record.
+	// Era is the era of the store that the view shows, and End an offset of that era below which it has every record.
+	Era uint64
 	End uint64
 	// Members holds the member records by name, with the leavings that the store may not know, and Tables the assignment
 	// tables by service.
@@ -48,10 +57,21 @@
 	leavings []Leaving
 	// offsets holds the offset of each record by key.
 	offsets map[string]uint64
+	// mark is the record with EraKey, or zero if there is none.
+	mark mark
 	// unreadable holds the keys whose newest record can't be decoded.
 	unreadable map[string]struct{}
 }
 
+// mark is the beginning of an era.
+type mark struct{ era, offset uint64 }
+
+// Position returns the position below which the view has every record.
+func (v *View) Position() Position { return Position{Era: v.Era, Offset: v.End} }
+
+// Marked reports whether the store has the record that marks the beginning of the view's era.
+func (v *View) Marked() bool { return v.mark.era >= v.Era }
+
 // Unreadable reports whether the newest record of a key can't be decoded. The view then holds the record before it, if
 // there was one.
 func (v *View) Unreadable(key string) bool {
@@ -92,12 +112,12 @@
 func (r *Registrar) Apply(entries []Entry, end uint64) error {
 	old := r.View()
 	next := &View{
-		End: max(old.End, end), stored: maps.Clone(old.stored), leavings: old.leavings, Tables: maps.Clone(old.Tables),
+		Era: old.Era, End: max(old.End, end), mark: old.mark, stored: maps.Clone(old.stored), leavings: old.leavings, Tables: maps.Clone(old.Tables),
 		offsets: maps.Clone(old.offsets), unreadable: maps.Clone(old.unreadable),
 	}
 	var failed []string
 	changed := end > old.End
-	for _, e := range entries {
+	for _, e := range marksFirst(entries) {
 		if known, found := r.entries[e.Key]; found && known.Offset >= e.Offset {
 			continue
 		}
@@ -120,7 +140,50 @@
 	return nil
 }
 
+// Enter replaces the view by the newest records of a later era of the store. What was draining in the earlier era is kept as a
+// leaving, which the store may have lost. It must not be called concurrently with Apply.
+func (r *Registrar) Enter(entries []Entry, p Position) error {
+	old := r.View()
+	next := New().View()
+	next.Era, next.leavings = p.Era, slices.Clone(old.leavings)
+	for _, m := range old.stored {
+		l := Leaving{Member: m.Name, Incarnation: m.Incarnation}
+		if m.State == Draining && !slices.Contains(next.leavings, l) {
+			next.leavings = append(next.leavings, l)
+		}
+	}
+	next.leavings = next.leavings[max(len(next.leavings)-maxLeavings, 0):]
+	next.buildIndexes()
+	r.entries = map[string]Entry{}
+	r.view.Store(next)
+	return r.Apply(entries, p.Offset)
+}
+
+// marksFirst returns records with the one that marks an era before all others.
+func marksFirst(entries []Entry) []Entry {
+	if i := slices.IndexFunc(entries, func(e Entry) bool { return e.Key == EraKey }); i > 0 {
+		return append([]Entry{entries[i]}, slices.Delete(slices.Clone(entries), i, i+1)...)
+	}
+	return entries
+}
+
+func (v *View) applyMark(e Entry) error {
+	if len(e.Value) == 0 {
+		v.mark = mark{}
+		return nil
+	}
+	era, err := strconv.ParseUint(string(e.Value), 10, 64)
+	if err != nil {
+		return errors.Wrap(err, "decode the mark of an era")
+	}
+	v.mark = mark{era: era, offset: e.Offset}
+	return nil
+}
+
 func (v *View) apply(e Entry) error {
+	if e.Key == EraKey {
+		return v.applyMark(e)
+	}
 	if name, found := strings.CutPrefix(e.Key, memberPrefix); found {
 		if len(e.Value) == 0 {
 			delete(v.stored, name)
@@ -151,6 +214,9 @@
 	if t.Service != service {
 		return errors.Errorf("the record names the service %q", t.Service)
 	}
+	if e.Offset > v.mark.offset && t.Era < v.mark.era {
+		return errors.Errorf("the table was built in era %d and stands behind the beginning of era %d", t.Era, v.mark.era)
+	}
 	v.Tables[service] = t
 	return nil
 }
