sidecar, platform, assigner: a store that comes back from an older copy

Change: reads, appends and synchronizations carry the era; a later era replaces the records as a whole; the table is opened in it, claims are written, and it settles after a lease term. The configuration in force isn't confirmed by an older one. Changed tests: the signatures of apply, updatesSince, applyConfiguration, Newest and Append; property_test.go plans from the process's table, which is the stored one there.

--- a/assigner/calls_test.go
+++ b/assigner/calls_test.go
@@ -29,12 +29,12 @@
 
 // sendCalls lets a process send the calls that are due. Some are lost, applied late, or answered late.
 func (w *system) sendCalls(p *process) {
-	if !p.alive || w.stored == nil {
+	if !p.alive || w.keys() == nil {
 		return
 	}
 	limit := 1 + w.random.IntN(4)
 	if w.reliable {
-		limit = len(w.stored.Slices)
+		limit = len(w.keys().Slices)
 	}
 	for _, c := range p.granter.Calls(w.now, limit) {
 		x := sentCall{call: c, to: p.server, outcome: w.deliverCall(p, c)}
@@ -93,7 +93,7 @@
 
 // applyGrant applies a grant, whose time counts from its arrival, unless the server has seen a higher token.
 func (w *system) applyGrant(s *server, c granter.GrantCall, arrived time.Duration) bool {
-	first, last := w.stored.SliceOf(c.First), w.stored.SliceOf(c.Last)
+	first, last := w.keys().SliceOf(c.First), w.keys().SliceOf(c.Last)
 	for i := first; i <= last; i++ {
 		if s.highestTokens[i] > c.Token {
 			return false
@@ -127,7 +127,7 @@
 	if !s.alive {
 		return granter.NotSent
 	}
-	for i := w.stored.SliceOf(c.First); i <= w.stored.SliceOf(c.Last); i++ {
+	for i := w.keys().SliceOf(c.First); i <= w.keys().SliceOf(c.Last); i++ {
 		delete(s.holds, i)
 	}
 	if w.faulty(0.2) {
@@ -197,6 +197,6 @@
 		for _, p := range w.processes {
 			held += len(p.server.holds)
 		}
-		require.Equal(t, len(w.stored.Slices), held)
+		require.Equal(t, len(w.keys().Slices), held)
 	})
 }
--- a/assigner/plan.go
+++ b/assigner/plan.go
@@ -36,8 +36,8 @@
 const (
 	// slicesPerOwner is the number of slices of each owner in an even distribution.
 	slicesPerOwner = 180
-	minSlices = 64
-	maxSlices = 10_000
+	minSlices      = 64
+	maxSlices      = 10_000
 )
 
 // sliceCount returns the number of slices for a number of owners. All slices but the last have the same number of keys.
--- a/assigner/property_test.go
+++ b/assigner/property_test.go
@@ -61,6 +61,8 @@
 	// connected is the server that the connections for calls lead to, and calls holds the calls in flight.
 	connected *server
 	calls     []sentCall
+	// eraState is the state of a process whose store may go back.
+	eraState
 	// lateBeats holds heartbeats of this server and of earlier ones that arrive late.
 	lateBeats []granter.Heartbeat
 }
@@ -95,6 +97,8 @@
 	// tokens maps a slice to its last holder and token.
 	tokens   map[int]lastToken
 	lastBorn int64
+	// goingBack is the state of a store that may go back, or nil.
+	goingBack *goingBack
 }
 
 type lastToken struct {
@@ -131,10 +135,15 @@
 		Member: p.name, LeaseTerm: leaseTerm, HoldTime: holdTime, MaxHold: maxHold, Started: w.now, ByCalls: w.byCalls,
 	})
 	p.granter.Revoke()
+	p.eraState = eraState{}
 }
 
-// change stores the next table.
-func (w *system) change(next *assigner.Table) {
+// change stores the next table of a process, on the condition that the process has read all changes.
+func (w *system) change(p *process, next *assigner.Table) {
+	if w.goingBack != nil {
+		w.append(p, next)
+		return
+	}
 	w.stored = next
 	w.changes++
 }
@@ -144,13 +153,24 @@
 	if !p.alive || p.partitioned {
 		return
 	}
+	if w.goingBack != nil {
+		w.readEra(p, took)
+		return
+	}
 	w.learn(p, w.stored, w.changes, w.now-took, maps.Clone(w.incarnations))
 }
 
 // relay lets a process, which may be cut off from the store, learn what another one has read, unless its own state is
 // newer. Its lease then runs from the start of the read of the other process.
 func (w *system) relay(p, from *process) {
-	if !p.alive || !from.alive || p == from || from.records == nil || from.end < p.end {
+	if !p.alive || !from.alive || p == from || from.records == nil {
+		return
+	}
+	if w.goingBack != nil {
+		w.observe(p, from.state())
+		return
+	}
+	if from.end < p.end {
 		return
 	}
 	w.learn(p, from.table, from.end, from.readBegan, from.records)
@@ -158,7 +178,11 @@
 
 func (w *system) learn(p *process, t *assigner.Table, end int, readBegan time.Duration, records map[string]published) {
 	p.table, p.end, p.readBegan, p.records = t, end, readBegan, records
-	p.granter.Observe(t, readBegan)
+	if w.goingBack == nil || p.confirmedInEra(records) {
+		p.granter.Observe(t, readBegan)
+	} else {
+		p.granter.AdoptUnverified(t)
+	}
 	if c, found := records[p.name]; found && c.epoch == p.epoch && !c.candidate.Ended && !p.ended {
 		p.granter.Confirm(c.candidate.Owner.Incarnation, c.revision)
 	}
@@ -206,7 +230,7 @@
 		if w.byCalls {
 			break
 		}
-		first, last := w.stored.KeyRange(i)
+		first, last := w.keys().KeyRange(i)
 		h.Holds = append(h.Holds, granter.Holding{First: first, Last: last, Token: token})
 	}
 	if w.byCalls && w.chance(0.15) {
@@ -241,9 +265,11 @@
 		return
 	}
 	w.read(p, 0)
-	list := p.granter.StillReleased(w.stored, p.release.list)
-	if next := assigner.Release(w.stored, p.release.owner, list); next != nil {
-		w.change(next)
+	if t := p.table; t != nil {
+		list := p.granter.StillReleased(t, p.release.list)
+		if next := assigner.Release(t, p.release.owner, list); next != nil {
+			w.change(p, next)
+		}
 	}
 	p.release = nil
 }
@@ -252,7 +278,7 @@
 func (w *system) applyResponse(s *server, a granter.Response) {
 	granted := map[int]uint64{}
 	for _, g := range a.Grants {
-		for i := w.stored.SliceOf(g.First); i <= w.stored.SliceOf(g.Last); i++ {
+		for i := w.keys().SliceOf(g.First); i <= w.keys().SliceOf(g.Last); i++ {
 			granted[i] = g.Token
 		}
 	}
@@ -296,11 +322,11 @@
 
 // plan updates the stored table according to the process's copy of it.
 func (w *system) plan(p *process) {
-	if !p.alive || p.partitioned || p.table != w.stored {
+	if !p.alive || p.partitioned || w.goingBack == nil && p.table != w.stored || w.planEra(p) {
 		return
 	}
 	view := assigner.PlanInput{
-		Service: "stock", LeaseTerm: leaseTerm,
+		Service: "stock", LeaseTerm: leaseTerm, Era: p.era,
 		SuspectedFor: func(s assigner.Suspicion) time.Duration {
 			since, known := p.suspectedAt[s]
 			if !known {
@@ -310,18 +336,18 @@
 		},
 	}
 	for _, q := range w.processes {
-		if c, found := w.incarnations[q.name]; found {
+		if c, found := p.records[q.name]; found {
 			view.Candidates = append(view.Candidates, c.candidate)
 		}
 	}
-	if w.stored != nil {
-		if next := assigner.Refute(w.stored, p.name); next != nil {
-			w.change(next)
+	if p.table != nil {
+		if next := assigner.Refute(p.table, p.name); next != nil {
+			w.change(p, next)
 			return
 		}
 	}
-	if next := assigner.Plan(w.stored, view); next != nil {
-		w.change(next)
+	if next := assigner.Plan(p.table, view); next != nil {
+		w.change(p, next)
 	}
 }
 
@@ -425,29 +451,29 @@
 
 func (w *system) suspect(p *process) {
 	w.read(p, 0)
-	if w.stored == nil || len(w.stored.Owners) == 0 || p.partitioned || !p.alive {
+	if p.table == nil || len(p.table.Owners) == 0 || p.partitioned || !p.alive || p.table.Era != p.era {
 		return
 	}
-	o := w.stored.Owners[w.random.IntN(len(w.stored.Owners))]
-	if next := assigner.Suspect(w.stored, o.Member); next != nil {
-		w.change(next)
+	o := p.table.Owners[w.random.IntN(len(p.table.Owners))]
+	if next := assigner.Suspect(p.table, o.Member); next != nil {
+		w.change(p, next)
 	}
 }
 
 func (w *system) move(p *process) {
 	w.read(p, 0)
-	if w.stored == nil || p.partitioned || !p.alive || len(w.stored.Owners) == 0 {
+	if p.table == nil || p.partitioned || !p.alive || len(p.table.Owners) == 0 || p.table.Era != p.era {
 		return
 	}
 	from := assigner.Owner{Member: p.name, Incarnation: p.granter.Incarnation()}
-	to := w.stored.Owners[w.random.IntN(len(w.stored.Owners))]
+	to := p.table.Owners[w.random.IntN(len(p.table.Owners))]
 	if to == from {
 		return
 	}
-	if next := assigner.SetTargets(w.stored, from, []assigner.Move{
-		{Slice: w.random.IntN(len(w.stored.Slices)), Target: to},
+	if next := assigner.SetTargets(p.table, from, []assigner.Move{
+		{Slice: w.random.IntN(len(p.table.Slices)), Target: to},
 	}); next != nil {
-		w.change(next)
+		w.change(p, next)
 	}
 }
 
--- a/granter/era.go
+++ b/granter/era.go
@@ -17,9 +17,15 @@
 			}
 		}
 	}
+	if len(claims) > 0 {
+		g.claimedSlices = len(g.table.Slices)
+	}
 	g.claims, g.era = claims, era
 }
 
+// ClaimCount returns the number of slices that the process claims.
+func (g *Granter) ClaimCount() int { return len(g.claims) }
+
 // mayGrant reports whether the server may be granted a slice: the table assigns it to the server, it isn't moving, and, while the
 // store's records settle after a change of era, the process had the right to it before.
 func (g *Granter) mayGrant(slice int) bool {
@@ -39,6 +45,10 @@
 	if t == nil || !t.Settling {
 		return nil
 	}
+	if len(t.Slices) != g.claimedSlices {
+		// The store has lost the first table, and another one divides the keys differently.
+		clear(g.claims)
+	}
 	var list []assigner.Claim
 	for i := range t.Slices {
 		token, claimed := g.claims[i]
--- a/granter/granter.go
+++ b/granter/granter.go
@@ -17,6 +17,8 @@
 	// the right before.
 	era    uint64
 	claims map[int]uint64
+	// claimedSlices is the number of slices of the table that the claims are from.
+	claimedSlices int
 	// leaseStart is the start of the latest read that returned a table without a suspicion of this process. It is valid
 	// if hasLease is set.
 	leaseStart time.Duration
--- a/sidecar/age_test.go
+++ b/sidecar/age_test.go
@@ -16,6 +16,7 @@
 	"hibiscusline/carrier"
 	"hibiscusline/loader"
 	"hibiscusline/platform"
+	"hibiscusline/registrar"
 	"hibiscusline/timer"
 	"hibiscusline/waiter"
 )
@@ -50,8 +51,8 @@
 // on it, seem younger than they are.
 func TestAgeCountsToHeld(t *testing.T) {
 	a := newIdleSidecar()
-	a.applyConfiguration(encodedConfiguration(t, 1, 1500), 0, "test")
-	a.applyConfiguration(encodedConfiguration(t, 2, 1500), 0, "test")
+	a.applyConfiguration(encodedConfiguration(t, 1, 1500), registrar.Position{}, "test")
+	a.applyConfiguration(encodedConfiguration(t, 2, 1500), registrar.Position{}, "test")
 	confirmed := timer.Now()
 	a.configurationAge.Confirm(confirmed)
 	a.caughtUpAt = confirmed
@@ -73,8 +74,8 @@
 // only heard of it from another process.
 func TestUnconfirmedAge(t *testing.T) {
 	a := newIdleSidecar()
-	a.applyConfiguration(encodedConfiguration(t, 1, 1), 0, "test")
-	_, header := a.updatesSince(0, timer.Now(), documentQuery{version: 1})
+	a.applyConfiguration(encodedConfiguration(t, 1, 1), registrar.Position{}, "test")
+	_, header := a.updatesSince(registrar.Position{}, timer.Now(), documentQuery{version: 1})
 	require.Empty(t, header.Get(ageField))
 }
 
@@ -109,12 +110,12 @@
 			_, _ = w.Write(encodeStoreBatch(uint64(from), platform.ConfigurationKey, documents[from-1]))
 		}
 	})
-	a.applyConfiguration(encodedConfiguration(t, 1, 1), 0, "test")
+	a.applyConfiguration(encodedConfiguration(t, 1, 1), registrar.Position{}, "test")
 	r := configurationRead{loaded: true, next: 1}
 	for _, confirms := range []bool{false, true} {
 		_, err := a.readConfiguration(t.Context(), &r, waiter.Hold{})
 		require.NoError(t, err)
-		_, header := a.updatesSince(0, timer.Now(), documentQuery{version: 1})
+		_, header := a.updatesSince(registrar.Position{}, timer.Now(), documentQuery{version: 1})
 		require.Equal(t, confirms, header.Get(ageField) != "")
 	}
 	require.EqualValues(t, 3, a.version())
--- a/sidecar/configuration.go
+++ b/sidecar/configuration.go
@@ -23,12 +23,12 @@
 type configuration struct {
 	version  uint64
 	document []byte
-	// offset is where the store has the document, or zero if that is unknown.
-	offset uint64
+	// era and offset are where the store has the document. The offset is zero if that is unknown.
+	era, offset uint64
 }
 
 // applyConfiguration applies a configuration unless the current one is as new. It reports false if it can't be read.
-func (a *Sidecar) applyConfiguration(document []byte, offset uint64, source string) bool {
+func (a *Sidecar) applyConfiguration(document []byte, at registrar.Position, source string) bool {
 	c, err := platform.DecodeConfiguration(document)
 	if err != nil {
 		_ = a.logger.Log("event", "configuration_rejected", "source", source, "error", err)
@@ -41,7 +41,7 @@
 	}
 	lag, _ := a.announced.Behind(a.version())
 	a.announced.Applied(timer.Now(), c.Version)
-	a.current.Store(&configuration{version: c.Version, document: document, offset: offset})
+	a.current.Store(&configuration{version: c.Version, document: document, era: at.Era, offset: at.Offset})
 	a.documents.add(c.Version, document)
 	a.forwarder.SetRoutes(matcher.New(c, rand.Uint64()))
 	_ = a.logger.Log("event", "configuration", "version", c.Version, "source", source, "routes", len(c.Routes),
@@ -79,7 +79,10 @@
 
 // configurationRead is how far the configurations of the store were read.
 type configurationRead struct {
-	next uint64
+	// era is the era of the store that next belongs to.
+	era, next uint64
+	// version is the newest version that the store was found to have in the era.
+	version uint64
 	// loaded means that the newest one was read, and failed that the latest read failed.
 	loaded, failed bool
 }
@@ -90,6 +93,9 @@
 func (a *Sidecar) followConfiguration(ctx context.Context) {
 	var r configurationRead
 	for ctx.Err() == nil {
+		if r.era < a.store.Era() || r.era < a.registrar.View().Era {
+			r = configurationRead{era: max(a.store.Era(), a.registrar.View().Era)}
+		}
 		lag, behind := a.announced.Behind(a.version())
 		if r.loaded && !behind && a.othersConfirmConfiguration() {
 			a.awaitNewerConfig(ctx)
@@ -99,7 +105,8 @@
 		if behind || r.failed || a.delegated.Load() {
 			hold = waiter.Hold{}
 		}
-		if behind {
+		if behind && r.era == 0 {
+			// Offsets that others have announced may be of an earlier era.
 			r.next = max(r.next, lag.Offset)
 		}
 		whole := !r.loaded
@@ -111,6 +118,9 @@
 			}
 			continue
 		}
+		if hold == (waiter.Hold{}) && a.lostConfiguration(&r) && !timer.Sleep(ctx, a.promises.configuration.Retry()) {
+			return
+		}
 		if behind && a.version() < lag.Version {
 			if whole {
 				a.announced.Withdraw(lag.Version)
@@ -170,12 +180,22 @@
 	}
 	r.failed = err != nil
 	if errors.Is(err, platform.ErrExpired) {
-		*r = configurationRead{}
+		*r = configurationRead{era: r.era}
 		return 0, nil
 	}
 	if err != nil {
 		return 0, err
 	}
+	switch {
+	case answer.era < r.era:
+		a.logOtherEra("configuration", answer.era)
+		return 0, errEarlierEra
+	case answer.era > r.era:
+		*r = configurationRead{era: answer.era}
+		if !read.newest {
+			return 0, nil
+		}
+	}
 	if a.delegated.Load() {
 		// Nothing else shows that the store answers again while others read the records.
 		a.storeHealth.markUp()
@@ -184,7 +204,14 @@
 	r.next, r.loaded = answer.next, read.newest || answer.completeAt != 0
 	if e, found := newestConfiguration(answer.entries); found {
 		// A clone doesn't keep the other versions of the read in memory.
-		a.configurationUnreadable.Store(!a.applyConfiguration(bytes.Clone(e.Value), e.Offset, "store"))
+		at := registrar.Position{Era: answer.era, Offset: e.Offset}
+		a.configurationUnreadable.Store(!a.applyConfiguration(bytes.Clone(e.Value), at, "store"))
+		if r.era > 0 {
+			r.version = max(r.version, a.storedVersion(e.Value))
+		}
+	}
+	if a.lostConfiguration(r) {
+		return len(answer.entries), nil
 	}
 	confirmed := answer.completeAt
 	if read.newest {
@@ -209,3 +236,21 @@
 
 // slowConfigurationRead is the time, beyond its hold, from which a read of the configuration is logged.
 const slowConfigurationRead = 500 * time.Millisecond
+
+// storedVersion returns the version of a configuration of the store, or zero if it can't be read.
+func (a *Sidecar) storedVersion(document []byte) uint64 {
+	if c := a.current.Load(); c != nil && bytes.Equal(c.document, document) {
+		return c.version
+	}
+	c, err := platform.DecodeConfiguration(document)
+	if err != nil {
+		return 0
+	}
+	return c.Version
+}
+
+// lostConfiguration reports whether the store, since it came back from an older copy, lacks the configuration in force. It then
+// doesn't confirm that there is no later one.
+func (a *Sidecar) lostConfiguration(r *configurationRead) bool {
+	return r.era > 0 && r.version < a.version()
+}
--- a/sidecar/documents.go
+++ b/sidecar/documents.go
@@ -28,6 +28,8 @@
 	// baseField means that the document is a patch, and is the version that the patch applies to. It is zero for a patch
 	// that holds the whole document.
 	baseField = executor.FieldPrefix + "Configuration-Base"
+	// eraField is the era of the store that the sender's records are of.
+	eraField = executor.FieldPrefix + "Store-Era"
 	// ageField is how long ago, in microseconds, the store confirmed that there is no newer configuration than the sender's.
 	ageField = executor.FieldPrefix + "Configuration-Age"
 )
@@ -163,6 +165,10 @@
 	if err != nil || n.Version > a.version() {
 		return
 	}
+	if n.Version < a.version() && a.registrar.View().Era > 0 {
+		// The store may have lost the version in force, and a later one with it.
+		return
+	}
 	a.configurationAge.Confirm(start + time.Duration(n.Held)*time.Microsecond - time.Duration(age)*time.Microsecond)
 }
 
--- a/sidecar/lost_answer_test.go
+++ b/sidecar/lost_answer_test.go
@@ -97,7 +97,7 @@
 		}
 		_, _ = w.Write(encodeStoreBatch(1, platform.ConfigurationKey, document))
 	})
-	a.applyConfiguration(encodedConfiguration(t, 1, 1), 0, "test")
+	a.applyConfiguration(encodedConfiguration(t, 1, 1), registrar.Position{}, "test")
 	promise := a.promises.configuration
 	confirmed := timer.Now() - promise.MaxAge()
 	a.configurationAge.Confirm(confirmed)
--- a/sidecar/odd_test.go
+++ b/sidecar/odd_test.go
@@ -25,10 +25,10 @@
 	for {
 		_, end, err := store.Newest(s.t.Context(), platform.RecordsTopic)
 		require.NoError(s.t, err)
-		offset, err := store.Append(s.t.Context(), platform.ExpectedEnd(end), []platform.Record{{Key: key, Value: value}})
+		offset, err := store.Append(s.t.Context(), platform.ExpectedEnd(end.Offset), []platform.Record{{Key: key, Value: value}})
 		if !errors.Is(err, platform.ErrConflict) {
 			require.NoError(s.t, err)
-			return offset + 1
+			return offset.Offset + 1
 		}
 	}
 }
--- a/sidecar/plan.go
+++ b/sidecar/plan.go
@@ -44,6 +44,7 @@
 		if a.stopping.Load() || !a.keyed() {
 			continue
 		}
+		a.writeClaims(ctx)
 		a.refute(ctx)
 		if now := timer.Now(); now >= rebalanceDue {
 			rebalanceDue = now + rebalanceInterval
@@ -117,18 +118,24 @@
 	if unreadable {
 		return t.Clone(), "unreadable record"
 	}
+	if t != nil && t.Era < v.Era {
+		return a.openTable(v, t), "open era"
+	}
 	if t != nil {
 		if s, due := a.unreachableOwner(v, t); due {
 			return assigner.Suspect(t, s), "suspect " + s
 		}
 	}
+	if t != nil && t.Settling && timer.Now() > a.settledAt() {
+		return assigner.Settle(t), "settle"
+	}
 	return assigner.Plan(t, a.planView(v)), "plan"
 }
 
 func (a *Sidecar) planView(v *registrar.View) assigner.PlanInput {
 	service := a.settings.Service
 	view := assigner.PlanInput{
-		Service: service, LeaseTerm: time.Duration(clockDrift*float64(leaseTerm(a.bounds.MaxHold))) + suspectMargin,
+		Service: service, Era: v.Era, LeaseTerm: a.maxLease(),
 		SuspectedFor: func(s assigner.Suspicion) time.Duration {
 			a.applyMu.Lock()
 			defer a.applyMu.Unlock()
@@ -164,6 +171,22 @@
 	return "", false
 }
 
+// writeClaims writes the claims of this process that the table of a new era lacks.
+func (a *Sidecar) writeClaims(ctx context.Context) {
+	v := a.registrar.View()
+	t := v.Tables[a.settings.Service]
+	if t == nil || t.Era < v.Era || a.applyClaims(t) == nil {
+		return
+	}
+	a.metrics.count("hibiscus_claims_written_total")
+	_ = a.changeTable(ctx, "claim", func(_ *registrar.View, t *assigner.Table) *assigner.Table {
+		if t == nil {
+			return nil
+		}
+		return a.applyClaims(t)
+	})
+}
+
 // refute removes a suspicion of this sidecar from the table.
 func (a *Sidecar) refute(ctx context.Context) {
 	t := a.registrar.View().Tables[a.settings.Service]
--- a/sidecar/publish.go
+++ b/sidecar/publish.go
@@ -43,16 +43,22 @@
 ) error {
 	for range maxAppendAttempts {
 		v := a.registrar.View()
+		if a.store.Era() > v.Era {
+			return errors.Wrap(errLaterEra, reason)
+		}
 		records, err := build(v)
 		if err != nil || len(records) == 0 {
 			return err
 		}
 		call, cancel := context.WithTimeout(ctx, storeCallTimeout)
 		a.metrics.count(`hibiscus_store_calls_total{call="append"}`)
-		offset, err := a.store.Append(call, platform.ExpectedEnd(v.End), records)
+		first, err := a.store.Append(call, platform.ExpectedEnd(v.End), records)
 		cancel()
-		if err == nil {
-			a.applyAppended(reason, offset, records, offset+uint64(len(records)))
+		switch {
+		case err == nil && first.Era != v.Era:
+			return errors.Wrap(errLaterEra, reason)
+		case err == nil:
+			a.applyAppended(reason, first, records, first.Offset+uint64(len(records)))
 			return nil
 		}
 		if !errors.Is(err, platform.ErrConflict) {
@@ -61,7 +67,7 @@
 		if !timer.Sleep(ctx, rand.N(maxConflictBackoff)) {
 			return errors.Wrap(ctx.Err(), reason)
 		}
-		if err := a.catchUp(ctx, v.End); err != nil {
+		if err := a.catchUp(ctx, v.Position()); err != nil {
 			return errors.Wrap(err, reason)
 		}
 	}
@@ -70,25 +76,28 @@
 
 // applyAppended applies records of this sidecar that the store has acknowledged. The end is the offset before which all
 // records are known, or zero if that is unknown.
-func (a *Sidecar) applyAppended(reason string, offset uint64, records []platform.Record, end uint64) {
+func (a *Sidecar) applyAppended(reason string, first registrar.Position, records []platform.Record, end uint64) {
 	entries := make([]registrar.Entry, len(records))
 	for i, r := range records {
-		entries[i] = registrar.Entry{Key: r.Key, Offset: offset + uint64(i), Value: r.Value}
+		entries[i] = registrar.Entry{Key: r.Key, Offset: first.Offset + uint64(i), Value: r.Value}
 	}
-	_ = a.logger.Log("event", "appended", "why", reason, "offset", offset, "records", len(records))
-	a.apply(entries, end, 0)
+	_ = a.logger.Log("event", "appended", "why", reason, "era", first.Era, "offset", first.Offset, "records", len(records))
+	a.apply(entries, registrar.Position{Era: first.Era, Offset: end}, 0)
 }
 
-// catchUp reads and applies the records from an offset on.
-func (a *Sidecar) catchUp(ctx context.Context, from uint64) error {
+// catchUp reads and applies the records from a position on.
+func (a *Sidecar) catchUp(ctx context.Context, from registrar.Position) error {
 	call, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
 	a.metrics.count(`hibiscus_store_calls_total{call="read"}`)
-	b, err := a.store.Read(call, platform.RecordsTopic, from, waiter.Hold{})
-	if err != nil {
+	b, err := a.store.Read(call, platform.RecordsTopic, from.Offset, waiter.Hold{})
+	switch {
+	case err != nil:
 		return err
+	case b.Era > from.Era:
+		return errLaterEra
 	}
-	a.apply(b.Entries, b.Next, 0)
+	a.apply(b.Entries, registrar.Position{Era: b.Era, Offset: b.Next}, 0)
 	return nil
 }
 
@@ -113,6 +122,9 @@
 // publishOnce appends this sidecar's record if it differs from the stored one. An append without response is retried
 // under the same sequence number until it is acknowledged, so that it can't take effect after a later one.
 func (a *Sidecar) publishOnce(ctx context.Context) error {
+	if era := a.registrar.View().Era; era != a.publishEra {
+		a.publishEra, a.sequence, a.unacknowledged = era, 0, nil
+	}
 	if a.unacknowledged == nil {
 		record, err := a.ownRecord()
 		if err != nil || record == nil {
@@ -126,7 +138,7 @@
 	call, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
 	a.metrics.count(`hibiscus_store_calls_total{call="append"}`)
-	offset, err := a.store.Append(call, producer, a.unacknowledged)
+	first, err := a.store.Append(call, producer, a.unacknowledged)
 	if errors.Is(err, platform.ErrFenced) {
 		// Another process of this name has a later epoch, or the sequence has a gap. Restart the sequence in a new
 		// epoch.
@@ -140,7 +152,7 @@
 	}
 	records := a.unacknowledged
 	a.sequence, a.unacknowledged = a.sequence+1, nil
-	a.applyAppended("own record", offset, records, 0)
+	a.applyAppended("own record", first, records, 0)
 	return nil
 }
 
@@ -154,7 +166,7 @@
 		return nil, nil
 	}
 	if a.own.Epoch <= stored.Epoch && a.sequence == 0 {
-		a.own.Epoch = stored.Epoch + 1
+		a.own.Epoch = max(stored.Epoch, assigner.CounterFloor(v.Era)) + 1
 	}
 	own := a.own
 	own.Stopping = a.stopping.Load()
@@ -187,11 +199,18 @@
 	var before, after *assigner.Table
 	err := a.appendChange(ctx, reason, func(v *registrar.View) ([]platform.Record, error) {
 		before = v.Tables[a.settings.Service]
-		after = build(v, before)
+		after = a.openTable(v, before)
+		if after == nil {
+			after = build(v, before)
+		}
 		records, err := tableRecord(after)
 		if err != nil || after == nil {
 			return nil, err
 		}
+		if !v.Marked() {
+			mark := platform.Record{Key: registrar.EraKey, Value: registrar.EncodeEra(v.Era)}
+			records = append([]platform.Record{mark}, records...)
+		}
 		// An empty record deletes the member. A sidecar that still runs publishes its record again.
 		for _, member := range assigner.SuspectsWithoutSlices(before, after) {
 			records = append(records, platform.Record{Key: registrar.MemberKey(member)})
--- a/sidecar/reads.go
+++ b/sidecar/reads.go
@@ -71,8 +71,8 @@
 // storeAnswer is the answer to a storeRead.
 type storeAnswer struct {
 	entries []registrar.Entry
-	// next is the offset from which the next read continues.
-	next uint64
+	// era is the era of the store that the offsets belong to, and next the offset from which the next read continues.
+	era, next uint64
 	// start is when the read began. completeAt is up to when the answer shows all records, or zero if it may lack some.
 	start, completeAt time.Duration
 	// expired means that records from the offset on were deleted.
@@ -133,13 +133,13 @@
 	answer := storeAnswer{start: timer.Now()}
 	if r.newest {
 		a.metrics.count(`hibiscus_store_calls_total{call="newest"}`)
-		var err error
-		answer.entries, answer.next, err = store.Newest(ctx, r.topic)
+		entries, end, err := store.Newest(ctx, r.topic)
+		answer.entries, answer.era, answer.next = entries, end.Era, end.Offset
 		return answer, err
 	}
 	a.metrics.count(`hibiscus_store_calls_total{call="read"}`)
 	b, err := store.Read(ctx, r.topic, r.from, r.hold)
-	answer.entries, answer.next = b.Entries, b.Next
+	answer.entries, answer.era, answer.next = b.Entries, b.Era, b.Next
 	switch {
 	case b.Next != b.End:
 	case len(b.Entries) > 0 || timer.Now() < answer.start+r.hold.Duration():
--- a/sidecar/records.go
+++ b/sidecar/records.go
@@ -37,7 +37,7 @@
 	hold := waiter.Hold{}
 	for ctx.Err() == nil {
 		var err error
-		if !loaded {
+		if !loaded || a.store.Era() > a.registrar.View().Era {
 			err = a.loadRecords(ctx)
 			loaded = err == nil
 		} else if r, delegated := a.nextSource().(delegator.Reader); delegated {
@@ -46,7 +46,7 @@
 		} else {
 			var count int
 			count, err = a.readRecords(ctx, hold)
-			if errors.Is(err, platform.ErrExpired) {
+			if errors.Is(err, platform.ErrExpired) || errors.Is(err, errLaterEra) {
 				loaded, err = false, nil
 			}
 			if err == nil && count > 0 && !timer.Sleep(ctx, a.batchDelay()) {
@@ -79,6 +79,7 @@
 	if err != nil {
 		return err
 	}
+	a.enterEra(answer.entries, registrar.Position{Era: answer.era, Offset: answer.next})
 	// Pages are read one after the other, so a record may be missing until later reads return it. This load therefore
 	// doesn't prove that the table is the newest.
 	a.mu.Lock()
@@ -87,23 +88,29 @@
 	a.applyMu.Lock()
 	deletions := a.registrar.Deletions(answer.entries, answer.next)
 	a.applyMu.Unlock()
-	a.apply(append(answer.entries, deletions...), answer.next, 0)
+	if !a.apply(append(answer.entries, deletions...), registrar.Position{Era: answer.era, Offset: answer.next}, 0) {
+		return errEarlierEra
+	}
 	return nil
 }
 
 // readRecords reads and applies the records after the known ones and returns their number.
 func (a *Sidecar) readRecords(ctx context.Context, hold waiter.Hold) (int, error) {
-	answer, err := a.readStore(ctx, storeRead{
-		topic: platform.RecordsTopic, promise: a.promises.records, from: a.registrar.View().End, hold: hold,
-	})
-	if err != nil {
+	v := a.registrar.View()
+	answer, err := a.readStore(ctx, storeRead{topic: platform.RecordsTopic, promise: a.promises.records, from: v.End, hold: hold})
+	switch {
+	case err != nil:
 		return 0, err
+	case answer.era > v.Era:
+		return 0, errLaterEra
 	}
 	readStart := time.Duration(0)
 	if answer.completeAt != 0 {
 		readStart = answer.start
 	}
-	a.apply(answer.entries, answer.next, readStart)
+	if !a.apply(answer.entries, registrar.Position{Era: answer.era, Offset: answer.next}, readStart) {
+		return 0, errEarlierEra
+	}
 	return len(answer.entries), nil
 }
 
@@ -112,16 +119,27 @@
 	assigner.Suspicion
 }
 
-// apply applies records. readStart is the start time of a read that returned all records of the store, or zero.
-func (a *Sidecar) apply(entries []registrar.Entry, end uint64, readStart time.Duration) {
+// apply applies records up to a position. It drops those of another era than that of the view and reports false. readStart is
+// the start time of a read that returned all records of the store, or zero.
+func (a *Sidecar) apply(entries []registrar.Entry, end registrar.Position, readStart time.Duration) bool {
 	a.applyMu.Lock()
 	defer a.applyMu.Unlock()
-	if err := a.registrar.Apply(entries, end); err != nil {
+	if end.Era != a.registrar.View().Era {
+		a.logOtherEra("records", end.Era)
+		return false
+	}
+	if err := a.registrar.Apply(entries, end.Offset); err != nil {
 		_ = a.logger.Log("event", "records_unreadable", "error", err)
 	}
-	v := a.registrar.View()
+	a.applyView(a.registrar.View(), len(entries), readStart)
+	return true
+}
+
+// applyView applies a new view to the state that is derived from the records. count is the number of records that were applied.
+// The caller holds applyMu.
+func (a *Sidecar) applyView(v *registrar.View, count int, readStart time.Duration) {
 	now := timer.Now()
-	if len(entries) > 0 {
+	if count > 0 {
 		a.lastRecordAt = now
 	}
 	a.caughtUpAt = max(a.caughtUpAt, readStart)
@@ -137,6 +155,7 @@
 	a.mu.Lock()
 	if own, settled := v.MemberBeforeEnd(a.settings.Name); settled {
 		a.published = own
+		a.eraUnconfirmed = a.eraUnconfirmed && own.Epoch != a.own.Epoch
 		if own.Epoch != a.own.Epoch {
 			a.predecessor = own
 		}
@@ -149,14 +168,14 @@
 		a.leavingsAsked = true
 		go a.fetchLeavings()
 	}
-	if readStart != 0 {
+	if readStart != 0 && !a.eraUnconfirmed {
 		a.granter.Observe(v.Tables[a.settings.Service], readStart)
 	} else {
 		a.granter.AdoptUnverified(v.Tables[a.settings.Service])
 	}
 	a.confirmGrants()
 	a.mu.Unlock()
-	if len(entries) > 0 {
+	if count > 0 {
 		a.updates.send()
 	}
 	wake(a.planWake)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -98,6 +98,8 @@
 	// suspectedSince holds the time at which this sidecar first read each suspicion.
 	suspectedSince map[suspicionKey]time.Duration
 	lastRecordAt   time.Duration
+	// eraSince is the time at which the records of the present era of the store were loaded.
+	eraSince time.Duration
 	// caughtUpAt is the start of the newest read, by this or another sidecar, that returned all records of the store.
 	caughtUpAt time.Duration
 	planWake   chan struct{}
@@ -111,6 +113,8 @@
 	own     registrar.Member
 	// published is this sidecar's latest known record in the store.
 	published registrar.Member
+	// eraUnconfirmed means that the store isn't known to have a record of this process of the present era.
+	eraUnconfirmed bool
 	// predecessor is the latest known record of the earlier process of this name, and resumed means that its work is
 	// continued.
 	predecessor registrar.Member
@@ -133,7 +137,8 @@
 	reported map[string]assigner.Incarnation
 	// replicated is the leaving that other sidecars keep, or nil.
 	replicated atomic.Pointer[registrar.Leaving]
-	// sequence and unacknowledged are used only by publishOwn.
+	// publishEra is the era of the store to which sequence and unacknowledged belong. They are used only by publishOwn.
+	publishEra     uint64
 	sequence       uint64
 	unacknowledged []platform.Record
 }
--- a/sidecar/sync.go
+++ b/sidecar/sync.go
@@ -112,9 +112,9 @@
 }
 
 func (a *Sidecar) pull(ctx context.Context, p pullRequest) (time.Duration, error) {
-	start := timer.Now()
+	start, known := timer.Now(), a.registrar.View()
 	query := url.Values{
-		"from": {strconv.FormatUint(a.registrar.View().End, 10)}, "version": {strconv.FormatUint(a.version(), 10)},
+		"from": {strconv.FormatUint(known.End, 10)}, "era": {strconv.FormatUint(known.Era, 10)}, "version": {strconv.FormatUint(a.version(), 10)},
 		"peer": {a.own.Peer.String()}, "wait_ms": {strconv.FormatInt(p.wait.Milliseconds(), 10)},
 		"document": {strconv.FormatBool(p.document)}, "patches": {"true"},
 	}
@@ -133,23 +133,34 @@
 	if err := cbor.Unmarshal(r.Body, &n); err != nil {
 		return -1, errors.Wrap(err, "decode sync response")
 	}
+	end := registrar.Position{Era: headerNumber(r.Header, eraField), Offset: n.End}
+	if end.Era > known.Era {
+		// The other process has sent all its records.
+		a.enterEra(n.Entries, end)
+	}
 	age, readStart := time.Duration(n.Age)*time.Microsecond, time.Duration(0)
 	if n.Age >= 0 && n.End >= a.registrar.View().End {
 		// The response was created at least Held after the request was sent. suspectMargin covers the drift of the
 		// other clock over that time.
 		readStart = start + time.Duration(n.Held)*time.Microsecond - age
 	}
-	a.apply(n.Entries, n.End, readStart)
-	offset := headerNumber(r.Header, offsetField)
+	current := a.apply(n.Entries, end, readStart)
+	offset := uint64(0)
+	if current {
+		offset = headerNumber(r.Header, offsetField)
+	}
 	if len(n.Document) > 0 {
 		document, err := a.expandDocument(n.Document, r.Header)
 		if err != nil {
 			_ = a.logger.Log("event", "configuration_rejected", "source", p.peer, "error", err)
 		} else {
-			a.applyConfiguration(document, offset, p.peer.String())
+			a.applyConfiguration(document, registrar.Position{Era: end.Era, Offset: offset}, p.peer.String())
 		}
 	}
 	a.observeVersion(n.Version, offset, p.peer)
+	if !current {
+		return -1, nil
+	}
 	a.adoptConfigurationAge(start, n, r.Header)
 	return age, nil
 }
@@ -244,11 +255,18 @@
 	}
 	a.observeReport(query)
 	a.observeSuspects(q.Header)
-	a.awaitUpdates(ctx, from, version, min(time.Duration(wait)*time.Millisecond, maxSyncWait))
+	// Earlier releases know no eras.
+	era, err := strconv.ParseUint(query.Get("era"), 10, 64)
+	if err != nil {
+		era = 0
+	}
+	known := registrar.Position{Era: era, Offset: from}
+	a.awaitUpdates(ctx, known, version, min(time.Duration(wait)*time.Millisecond, maxSyncWait))
 	// Earlier releases don't send the parameter patches.
 	d := documentQuery{version: version, whole: document, patches: query.Get("patches") == "true"}
-	n, header := a.updatesSince(from, q.Received, d)
-	if from > n.End || version > n.Version {
+	n, header := a.updatesSince(known, q.Received, d)
+	sent := registrar.Position{Era: headerNumber(header, eraField), Offset: n.End}
+	if known.Compare(sent) > 0 || version > n.Version {
 		go func() {
 			if a.refreshing.CompareAndSwap(false, true) {
 				defer a.refreshing.Store(false)
@@ -262,11 +280,15 @@
 	}
 	switch {
 	case !a.awaitTurn(ctx, len(r.Body), document):
+		if headerNumber(header, eraField) != known.Era {
+			// Only all records together begin an era.
+			header.Del(eraField)
+		}
 		return encodeUpdates(n.withoutRecords(from), header)
-	case a.registrar.View().End == n.End && a.version() == n.Version:
+	case a.registrar.View().Position() == sent && a.version() == n.Version:
 		return r
 	}
-	return encodeUpdates(a.updatesSince(from, q.Received, d))
+	return encodeUpdates(a.updatesSince(known, q.Received, d))
 }
 
 // awaitTurn waits until updates of a number of bytes may use the instance's link, and reports whether they may. One with a
@@ -307,9 +329,9 @@
 const maxTurnWait = syncTimeout * 2 / 3
 
 // awaitUpdates waits up to a limit while this sidecar has the same records and configuration as the requesting one.
-func (a *Sidecar) awaitUpdates(ctx context.Context, from, version uint64, limit time.Duration) {
+func (a *Sidecar) awaitUpdates(ctx context.Context, known registrar.Position, version uint64, limit time.Duration) {
 	a.waitUntil(ctx, limit, func() bool {
-		return a.registrar.View().End != from || a.version() != version || a.stopping.Load()
+		return a.registrar.View().Position() != known || a.version() != version || a.stopping.Load()
 	})
 }
 
@@ -335,28 +357,35 @@
 	}
 }
 
-// updatesSince returns the records from an offset on and the configuration, as the query asks for it, for a request that was
+// updatesSince returns the records from a position on, or all if the position is of an earlier era, and the configuration, as the query asks for it, for a request that was
 // received at a time. The header says where the store has the configuration.
-func (a *Sidecar) updatesSince(from uint64, received time.Duration, q documentQuery) (syncResponse, http.Header) {
+func (a *Sidecar) updatesSince(known registrar.Position, received time.Duration, q documentQuery) (syncResponse, http.Header) {
 	a.applyMu.Lock()
 	defer a.applyMu.Unlock()
 	// All ages count to the same time as Held. The response takes time to make.
 	now := timer.Now()
-	n := syncResponse{End: a.registrar.View().End, Age: -1, Held: (now - received).Microseconds(), Version: a.version()}
+	v := a.registrar.View()
+	n := syncResponse{End: v.End, Age: -1, Held: (now - received).Microseconds(), Version: a.version()}
 	if a.caughtUpAt != 0 {
 		n.Age = (now - a.caughtUpAt).Microseconds()
 	}
-	if n.End > from {
-		n.Entries = a.registrar.EntriesSince(from)
+	switch {
+	case v.Era > known.Era:
+		n.Entries = a.registrar.EntriesSince(0)
+	case v.Era == known.Era && n.End > known.Offset:
+		n.Entries = a.registrar.EntriesSince(known.Offset)
 	}
 	header := http.Header{}
+	if v.Era > 0 {
+		header.Set(eraField, strconv.FormatUint(v.Era, 10))
+	}
 	a.addSuspects(header)
 	if c := a.current.Load(); c != nil {
 		if age, confirmed := a.configurationAge.Confirmed(now); confirmed && !a.configurationUnreadable.Load() {
 			header.Set(ageField, strconv.FormatInt(age.Microseconds(), 10))
 		}
 		n.Document = a.documentFor(c, q, header)
-		if c.offset != 0 {
+		if c.offset != 0 && c.era == v.Era {
 			header.Set(offsetField, strconv.FormatUint(c.offset, 10))
 		}
 	}
--- a/sidecar/turns_test.go
+++ b/sidecar/turns_test.go
@@ -45,7 +45,7 @@
 	}
 	data, err := table.Encode()
 	require.NoError(t, err)
-	a.apply([]registrar.Entry{{Key: registrar.TableKey("stock"), Offset: offset, Value: data}}, offset+1, timer.Now())
+	a.apply([]registrar.Entry{{Key: registrar.TableKey("stock"), Offset: offset, Value: data}}, registrar.Position{Offset: offset + 1}, timer.Now())
 }
 
 func syncRequest(from uint64, wait time.Duration, document bool) *carrier.Request {
@@ -142,7 +142,7 @@
 // since its link is busy: the requester then takes it for lost, and doesn't learn that its configuration is the newest.
 func TestBusyLinkIsToldInTime(t *testing.T) {
 	a := newSlowLinkSidecar()
-	a.applyConfiguration(encodedConfiguration(t, 1, 1), 0, "test")
+	a.applyConfiguration(encodedConfiguration(t, 1, 1), registrar.Position{}, "test")
 	a.applyTable(t, 1)
 	a.configurationAge.Confirm(timer.Now())
 	require.True(t, a.link.Acquire(t.Context(), 20*slowLinkRate))
