--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hibiscusline/disruptor"
+	"hibiscusline/platform"
 )
 
 // faultKind injects a fault and returns its label, or an empty string if it did nothing.
@@ -17,7 +18,7 @@
 		s.killProcess, s.stopProcess, s.pauseProcess, s.reloadSettings, s.delayFromPeers, s.blackholePeers,
 		s.dropToPeers, s.resetPeers, s.blackholeStore, s.resetStore, s.failStore, s.loseStoreResponses,
 		s.dropStoreHistory, s.crashServer, s.drainServer, s.publishConfiguration, s.killAll, s.loseAllResponses,
-		s.forgetReads, s.silenceStore, s.silenceAll,
+		s.forgetReads, s.silenceStore, s.silenceAll, s.goBack,
 	}
 }
 
@@ -175,6 +176,17 @@
 	return "store drops its history"
 }
 
+// maxStoreLoss is the longest time of whose records a store that comes back from an older copy lacks.
+const maxStoreLoss = 4 * time.Second
+
+// goBack lets the store come back without the newest records of the processes. The operator's configurations, which are written
+// again, stay.
+func (s *soakRun) goBack(_ *node, duration time.Duration) string {
+	loss := min(duration, maxStoreLoss)
+	s.injectOnce(nil, func() { s.store.GoBack(loss, platform.ConfigurationTopic) })
+	return "store came back from an older copy"
+}
+
 func (s *soakRun) loseAllResponses(_ *node, duration time.Duration) string {
 	s.inject(nil, duration, func() { s.store.SetLoseResponses(true) }, func() { s.store.SetLoseResponses(false) })
 	return "store responses lost on open connections"
