--- a/assigner/era_property_test.go
+++ b/assigner/era_property_test.go
@@ -113,7 +113,7 @@
 func (w *system) append(p *process, t *assigner.Table) {
 	a := lateAppend{due: w.now, end: p.end, table: t}
 	if w.chance(0.15) {
-		a.due += time.Duration(w.random.IntN(4000)) * time.Millisecond
+		a.due += time.Duration(w.random.IntN([]int{4000, 4000, 20000}[w.random.IntN(3)])) * time.Millisecond
 		w.goingBack.appends = append(w.goingBack.appends, a)
 		return
 	}
