--- a/sidecar/evacuation.go
+++ b/sidecar/evacuation.go
@@ -81,17 +81,17 @@
 		if !found {
 			continue
 		}
-		n := evacuator.Record{Zone: zone, Position: registrar.Position{Offset: e.Offset}, Evacuated: len(e.Value) > 0}
+		n := evacuator.Record{Zone: zone, Position: registrar.Position{Era: answer.era, Offset: e.Offset}, Evacuated: len(e.Value) > 0}
 		if known, found := k.state.Records[zone]; !found || known.Position != n.Position {
 			n.Since = k.since
 		}
 		records = append(records, n)
 	}
-	first, end := !a.evacuations.Known(), registrar.Position{Offset: answer.next}
+	first, end := !a.evacuations.Known(), registrar.Position{Era: answer.era, Offset: answer.next}
 	if r.newest {
 		a.applyEvacuations(a.evacuations.List(now, end, records), "store")
 	} else {
-		a.applyEvacuations(a.evacuations.Read(now, registrar.Position{Offset: r.from}, end, records), "store")
+		a.applyEvacuations(a.evacuations.Read(now, registrar.Position{Era: answer.era, Offset: r.from}, end, records), "store")
 	}
 	a.announceKnowledge(first)
 }
