forwarder: the test of evacuated zones has a job

Cause: a cold server's refusals count by the priority of the job, which the joined test didn't have. Change: it has one. Measured: TestEvacuatedZoneIsLeft panicked on the joined tree and passes.

--- a/forwarder/evacuation_test.go
+++ b/forwarder/evacuation_test.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 
+	"hibiscusline/executor"
 	"hibiscusline/matcher"
 	"hibiscusline/registrar"
 	"hibiscusline/timer"
@@ -32,7 +33,9 @@
 	picks := func() map[string]int {
 		count := map[string]int{}
 		for range 1000 {
-			p := &forwardedRequest{forwarder: f, service: f.service("s"), match: matcher.Match{Service: matcher.Service{Name: "s"}}}
+			p := &forwardedRequest{
+				forwarder: f, service: f.service("s"), job: &executor.Job{}, match: matcher.Match{Service: matcher.Service{Name: "s"}},
+			}
 			if m, found := p.pickMember(); found {
 				count[m.Name]++
 			} else {
