admitter: delay and refuse what costs callers least

Cause: within a rank the oldest request got the slot, the youngest only once the oldest was about to miss its deadline. In a burst all answers then came between target and deadline, though half of them could have met the target. Calls of running requests waited behind callers' requests of the same urgency and were refused by estimates for a reserve of slots that doesn't exist. Change: policy least_cost (docs/design/least-cost.md): within an urgency nested requests first; then by benefit (full, doubtful, late); least slack as long as all fit; a rank of equal urgency keeps at least half of another's served share. Retry-After is spread. The tests of floods, slow servers and the properties run under both policies.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -125,6 +125,7 @@
 	}
 	n := &request{Arrive: e, queue: q, arrived: a.now}
 	a.requests[e.ID] = n
+	q.arrivalRate += 1 / busyWindow.Seconds()
 	switch {
 	case a.slots == 0:
 		a.refuse(n, Draining)
@@ -143,19 +144,20 @@
 // it to skip the work that precedes the start of a request. A refusal is counted as if the request had arrived.
 func (a *Admitter) Preview(now time.Duration, e Arrive) (Refuse, bool) {
 	a.advance(now)
-	n := &request{Arrive: e, queue: a.queueOf(e.Rank)}
+	n := &request{Arrive: e, queue: a.queueOf(e.Rank), arrived: a.now}
 	refuse := Refuse{ID: e.ID}
 	switch {
 	case n.queue == nil:
 		refuse.Reason = UnknownRank
 	case a.slots == 0:
 		refuse.Reason = Draining
-	case a.config.Policy == Ranked && !a.admissible(n):
+	case a.config.Policy.ranked() && !a.admissible(n):
 		refuse.Reason = DeadlineUnreachable
 	default:
 		return Refuse{}, false
 	}
 	if n.queue != nil {
+		n.queue.arrivalRate += 1 / busyWindow.Seconds()
 		n.queue.refused[refuse.Reason]++
 	} else {
 		a.unknownRanks++
@@ -237,6 +239,8 @@
 	a.remove(e)
 	e.running, e.started = true, a.now
 	a.running++
+	benefit := a.benefitAfter(e, 0)
+	e.queue.benefits[benefit]++
 	e.queue.running++
 	e.queue.started++
 	e.queue.startRate += 1 / busyWindow.Seconds()
@@ -244,7 +248,7 @@
 		a.nestedRunning++
 	}
 	e.queue.charge(e)
-	a.actions = append(a.actions, Start{ID: e.ID})
+	a.actions = append(a.actions, Start{ID: e.ID, Benefit: benefit})
 }
 
 func (a *Admitter) refuse(e *request, reason Reason) {
--- a/admitter/choose.go
+++ b/admitter/choose.go
@@ -17,7 +17,7 @@
 			continue
 		}
 		a.start(e)
-		if e.Exclusive && a.config.Policy == Ranked {
+		if e.Exclusive && a.config.Policy.ranked() {
 			a.exclusive.current = e
 		}
 	}
@@ -41,7 +41,7 @@
 	if a.nestedRunning < a.reservedSlots() || holding {
 		for _, q := range a.queues {
 			if len(q.nested) > 0 {
-				return a.oldestOrYoungest(q, q.nested)
+				return a.nextIn(q, q.nested)
 			}
 		}
 	}
@@ -60,7 +60,7 @@
 		if len(q.nested) == 0 && (len(q.plain) == 0 || !plainAllowed) {
 			continue
 		}
-		if first == nil || q.Urgency == first.Urgency && q.oldestArrival() < first.oldestArrival() {
+		if first == nil || q.Urgency == first.Urgency && a.goesBefore(q, first) {
 			first = q
 		}
 		if q.Floor > 0 && q.credit > 0 && (owed == nil || float64(q.credit)/q.Floor > float64(owed.credit)/owed.Floor) {
@@ -70,13 +70,35 @@
 	if owed != nil {
 		first = owed
 	}
-	switch {
-	case first == nil:
+	if first == nil {
 		return nil
-	case len(first.nested) > 0:
-		return a.oldestOrYoungest(first, first.nested)
 	}
-	return a.oldestOrYoungest(first, first.plain)
+	return a.nextOf(first)
+}
+
+// goesBefore reports whether rank x goes before rank y, which is as urgent.
+func (a *Admitter) goesBefore(x, y *queue) bool {
+	if a.config.Policy == LeastCost {
+		return a.costlier(x, y)
+	}
+	return x.oldestArrival() < y.oldestArrival()
+}
+
+// nextOf returns the next request of a rank. One must be waiting.
+func (a *Admitter) nextOf(q *queue) *request {
+	list := q.plain
+	if len(q.nested) > 0 {
+		list = q.nested
+	}
+	return a.nextIn(q, list)
+}
+
+// nextIn returns the next request of a list of a rank.
+func (a *Admitter) nextIn(q *queue, list []*request) *request {
+	if a.config.Policy == LeastCost {
+		return a.leastCost(q, list)
+	}
+	return a.oldestOrYoungest(q, list)
 }
 
 // oldestOrYoungest returns the oldest request of a list, or the youngest if the oldest may miss its deadline because it
@@ -156,6 +178,9 @@
 	if e.Exclusive {
 		return a.exclusive.expectedWait(a.now)
 	}
+	if a.config.Policy == LeastCost {
+		return a.leastCostWait(e)
+	}
 	own := time.Duration(len(*e.queue.waitList(e.Nested))) * e.queue.serviceTime.mean
 	if a.running < a.slots && own == 0 {
 		return 0
@@ -170,19 +195,24 @@
 			float64(len(*e.queue.waitList(e.Nested))) / max(e.queue.startRate, minStartRate) * float64(time.Second),
 		)
 	}
-	ahead, freeSlots := own, float64(a.slots)
+	return a.waitBehind(e.queue, own)
+}
+
+// waitBehind estimates the wait of a rank for slots behind its own work that waits and that of ranks that are as urgent or more.
+func (a *Admitter) waitBehind(own *queue, work time.Duration) time.Duration {
+	ahead, freeSlots := work, float64(a.slots)
 	for _, q := range a.queues {
-		if q == e.queue || q.Urgency > e.queue.Urgency {
+		if q == own || q.Urgency > own.Urgency {
 			continue
 		}
 		ahead += time.Duration(q.waiting()) * q.serviceTime.mean
-		if q.Urgency < e.queue.Urgency {
+		if q.Urgency < own.Urgency {
 			freeSlots -= q.busy
 		}
 	}
 	wait := float64(ahead) / max(freeSlots, minFreeSlots)
-	if floor := e.queue.Floor * float64(a.slots); floor > 0 {
-		wait = min(wait, float64(own)/floor)
+	if floor := own.Floor * float64(a.slots); floor > 0 {
+		wait = min(wait, float64(work)/floor)
 	}
 	return time.Duration(wait)
 }
@@ -200,7 +230,11 @@
 	case Draining:
 		return minRetryAfter
 	}
-	return min(max(a.expectedWait(e), minRetryAfter), maxRetryAfter)
+	wait := max(a.expectedWait(e), minRetryAfter)
+	if a.config.Policy == LeastCost {
+		wait += time.Duration(float64(wait) * retrySpread * spreadOf(e.ID))
+	}
+	return min(wait, maxRetryAfter)
 }
 
 // LowestAdmitted returns the urgency of the least urgent rank that would now admit a request whose deadline is the
@@ -208,7 +242,7 @@
 func (a *Admitter) LowestAdmitted() int {
 	for i := len(a.queues) - 1; i >= 0; i-- {
 		q := a.queues[i]
-		e := &request{queue: q, Arrive: Arrive{Deadline: a.now + q.Target}}
+		e := &request{queue: q, arrived: a.now, Arrive: Arrive{Deadline: a.now + q.Target}}
 		if i == 0 || len(q.plain) < a.config.QueueLimit && a.admissible(e) {
 			return q.Urgency
 		}
--- a/admitter/flood_test.go
+++ b/admitter/flood_test.go
@@ -18,6 +18,10 @@
 	constant       bool
 	exclusiveShare float64       // share of exclusive requests
 	timeout        time.Duration // the target if zero
+	// factor multiplies the rate at a given time. Nil means one.
+	factor func(now time.Duration) float64
+	// from is the arrival time from which requests are counted, if it is after the warm-up.
+	from time.Duration
 }
 
 // outcome counts the requests of a workload. Only arrived and refused include the warm-up.
@@ -78,7 +82,11 @@
 			handle(now, a.Step(now, Finish{ID: j.id, Completed: true}))
 		}
 		for i, k := range classes {
-			for range arrivals(random, k.rate*tick.Seconds()) {
+			rate := k.rate
+			if k.factor != nil {
+				rate *= k.factor(now)
+			}
+			for range arrivals(random, rate*tick.Seconds()) {
 				id++
 				service := k.service
 				if !k.constant {
@@ -97,7 +105,7 @@
 }
 
 func record(o *outcome, k workload, j *job) {
-	if j.finishAt < warmUp {
+	if j.finishAt < warmUp || j.arrived < k.from {
 		return
 	}
 	o.slotTime += j.service
@@ -116,6 +124,13 @@
 	return count
 }
 
+// underPolicies runs a test under each policy that serves ranks in order of urgency.
+func underPolicies(t *testing.T, test func(t *testing.T, p Policy)) {
+	for _, p := range []Policy{Ranked, LeastCost} {
+		t.Run(p.String(), func(t *testing.T) { test(t, p) })
+	}
+}
+
 // workloads returns three workloads with the given rates in requests/s. The capacity in these tests is
 // 12 slots / 10 ms = 1200 requests/s.
 func workloads(orders, stock, patterns float64) []workload {
@@ -137,10 +152,12 @@
 
 // TestFloods guards against overloads that break the service targets: urgent requests must keep theirs while the least
 // urgent rank is overloaded, and goodput and floors must hold while the most urgent rank is.
-func TestFloods(t *testing.T) {
+func TestFloods(t *testing.T) { underPolicies(t, testFloods) }
+
+func testFloods(t *testing.T, p Policy) {
 	const seconds = 22
 	capacity := 12 * (seconds*time.Second - warmUp)
-	config := Config{Slots: 12, QueueLimit: 200}
+	config := Config{Slots: 12, QueueLimit: 200, Policy: p}
 	t.Run("least urgent", func(t *testing.T) {
 		o := simulate(config, workloads(200, 300, 6000), seconds)
 		t.Logf("%+v", o)
@@ -163,7 +180,7 @@
 	t.Run("callers that wait longer than the target", func(t *testing.T) {
 		c := workloads(6000, 300, 100)
 		c[0].timeout, c[1].timeout, c[2].timeout = time.Second, time.Second, 2*time.Second
-		o := simulate(Config{Slots: 12, QueueLimit: 2000}, c, seconds)
+		o := simulate(Config{Slots: 12, QueueLimit: 2000, Policy: p}, c, seconds)
 		t.Logf("%+v", o)
 		require.Greater(t, float64(o[0].inTime), 0.9*800*20, "a standing queue must not make all answers late")
 		require.Less(t, float64(o[0].late), 0.1*float64(o[0].inTime))
@@ -172,7 +189,7 @@
 		c := workloads(6000, 190, 100)
 		c[1].Target = 50 * time.Millisecond
 		c[0].timeout, c[1].timeout, c[2].timeout = time.Second, time.Second, 2*time.Second
-		o := simulate(Config{Slots: 12, QueueLimit: 2000}, c, seconds)
+		o := simulate(Config{Slots: 12, QueueLimit: 2000, Policy: p}, c, seconds)
 		t.Logf("%+v", o)
 		require.Zero(t, o[1].refused, "a rank that asks for less than its floor must get it")
 	})
@@ -214,7 +231,9 @@
 
 // TestEqualUrgency guards against a rank that gets no slots behind a flood of another rank of the same urgency, in whichever
 // order the ranks were met: routes that are added later have ranks of their own.
-func TestEqualUrgency(t *testing.T) {
+func TestEqualUrgency(t *testing.T) { underPolicies(t, testEqualUrgency) }
+
+func testEqualUrgency(t *testing.T, p Policy) {
 	const seconds = 22
 	for _, floodFirst := range []bool{true, false} {
 		flood := workload{
@@ -227,7 +246,7 @@
 		if !floodFirst {
 			list = []workload{few, flood}
 		}
-		o := simulate(Config{Slots: 12, QueueLimit: 512}, list, seconds)
+		o := simulate(Config{Slots: 12, QueueLimit: 512, Policy: p}, list, seconds)
 		t.Logf("%+v", o)
 		share := map[string]float64{}
 		for i, w := range list {
@@ -256,14 +275,16 @@
 
 // TestSlowServer guards against a queue that grows until callers give up because the server is so slow that few requests
 // could wait and still meet the target: the responses are late then, and callers that wait for less time get none.
-func TestSlowServer(t *testing.T) {
+func TestSlowServer(t *testing.T) { underPolicies(t, testSlowServer) }
+
+func testSlowServer(t *testing.T, p Policy) {
 	const seconds = 62
 	for name, w := range map[string]workload{
 		"service time above the target":    slowServer(24, 700*time.Millisecond),
 		"service time close to the target": slowServer(66, 500*time.Millisecond),
 	} {
 		t.Run(name, func(t *testing.T) {
-			o := simulate(Config{Slots: 11, QueueLimit: 512}, []workload{w}, seconds)[0]
+			o := simulate(Config{Slots: 11, QueueLimit: 512, Policy: p}, []workload{w}, seconds)[0]
 			t.Logf("%+v", o)
 			require.Greater(t, float64(o.inTime), 0.9*shareInTime(w)*float64(o.inTime+o.late))
 			require.Greater(t, o.slotTime, 95*11*(seconds*time.Second-warmUp)/100, "the slots stay busy")
@@ -272,9 +293,11 @@
 }
 
 // TestNoTarget guards against refusals of requests that could finish before their deadlines, of a rank without a target.
-func TestNoTarget(t *testing.T) {
+func TestNoTarget(t *testing.T) { underPolicies(t, testNoTarget) }
+
+func testNoTarget(t *testing.T, p Policy) {
 	const seconds = 22
-	o := simulate(Config{Slots: 11, QueueLimit: 512}, []workload{
+	o := simulate(Config{Slots: 11, QueueLimit: 512, Policy: p}, []workload{
 		{Rank: Rank{Name: "stock"}, rate: 20, service: 500 * time.Millisecond, timeout: time.Minute},
 	}, seconds)[0]
 	t.Logf("%+v", o)
@@ -285,7 +308,7 @@
 func TestSlowServerFlood(t *testing.T) {
 	const seconds = 62
 	w := slowServer(48, 700*time.Millisecond)
-	o := simulate(Config{Slots: 11, QueueLimit: 512}, []workload{w}, seconds)[0]
+	o := simulate(Config{Slots: 11, QueueLimit: 512, Policy: LeastCost}, []workload{w}, seconds)[0]
 	t.Logf("%+v", o)
 	require.Greater(t, float64(o.inTime), 0.9*shareInTime(w)*float64(o.inTime+o.late))
 	require.Greater(t, o.slotTime, 95*11*(seconds*time.Second-warmUp)/100, "the slots stay busy")
@@ -293,7 +316,9 @@
 
 // TestShortDeadlines guards against requests that get no slot because all others of their rank may wait longer: under
 // overload each younger request was preferred to them.
-func TestShortDeadlines(t *testing.T) {
+func TestShortDeadlines(t *testing.T) { underPolicies(t, testShortDeadlines) }
+
+func testShortDeadlines(t *testing.T, p Policy) {
 	const seconds = 62
 	for name, flood := range map[string]workload{
 		"service time above the target":    slowServer(30, 700*time.Millisecond),
@@ -302,7 +327,7 @@
 		t.Run(name, func(t *testing.T) {
 			few := flood
 			few.rate, few.timeout = 2, flood.Target
-			o := simulate(Config{Slots: 11, QueueLimit: 512}, []workload{flood, few}, seconds)
+			o := simulate(Config{Slots: 11, QueueLimit: 512, Policy: p}, []workload{flood, few}, seconds)
 			t.Logf("%+v", o)
 			served := func(o outcome) float64 { return float64(o.inTime+o.late) / float64(o.arrived) }
 			require.Greater(t, served(o[1]), served(o[0])/2, "neither may get less than half of its part of the slots")
--- a/admitter/preview_test.go
+++ b/admitter/preview_test.go
@@ -11,7 +11,8 @@
 // TestPreview guards against a preview that refuses a request that would be admitted, or that gives another reason.
 func TestPreview(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		a := New(Config{Slots: 2, QueueLimit: 50, Ranks: []Rank{
+		policy := rapid.SampledFrom([]Policy{Ranked, LeastCost}).Draw(t, "policy")
+		a := New(Config{Slots: 2, QueueLimit: 50, Policy: policy, Ranks: []Rank{
 			{Name: "order", Floor: 0.4, Target: 100 * time.Millisecond},
 			{Name: "stock", Urgency: 1, Floor: 0.2, Target: time.Second},
 		}})
--- a/admitter/property_test.go
+++ b/admitter/property_test.go
@@ -90,7 +90,10 @@
 			{Name: "stock", Urgency: 4, Floor: floor, Target: 100 * time.Millisecond},
 		}
 		slots := rapid.IntRange(1, 6).Draw(t, "slots")
-		a := New(Config{Slots: slots, Ranks: ranks, QueueLimit: rapid.IntRange(1, 8).Draw(t, "limit"), NestedShare: 0.1})
+		a := New(Config{
+			Slots: slots, Ranks: ranks, QueueLimit: rapid.IntRange(1, 8).Draw(t, "limit"), NestedShare: 0.1,
+			Policy: rapid.SampledFrom([]Policy{Ranked, LeastCost}).Draw(t, "policy"),
+		})
 		m := &model{
 			t: t, slots: slots, strict: strict, ranks: map[string]Rank{},
 			arrived: map[uint64]Arrive{}, running: map[uint64]bool{}, decided: map[uint64]bool{},
--- a/admitter/rank.go
+++ b/admitter/rank.go
@@ -23,11 +23,15 @@
 	busy float64
 	// startRate is the moving average of the number of starts per second.
 	startRate float64
+	// arrivalRate is the moving average of the number of arrivals per second.
+	arrivalRate float64
 	// lastEmpty is the latest time at which no request of the rank was waiting.
 	lastEmpty time.Duration
 	started   uint64
-	refused   [reasonCount]uint64
-	finished  uint64
+	// benefits counts the starts by their expected benefit.
+	benefits [benefitCount]uint64
+	refused  [reasonCount]uint64
+	finished uint64
 }
 
 // request is a waiting or running request.
@@ -72,6 +76,7 @@
 	decay := math.Exp(-float64(span) / float64(busyWindow))
 	q.busy = q.busy*decay + float64(q.running)*(1-decay)
 	q.startRate *= decay
+	q.arrivalRate *= decay
 	if q.Floor <= 0 {
 		q.credit = 0
 		return
--- a/admitter/snapshot.go
+++ b/admitter/snapshot.go
@@ -29,10 +29,12 @@
 	// CreditMillis is the slot time that the rank is owed, in milliseconds.
 	CreditMillis float64 `json:"credit_ms"`
 	// ServiceMillis is the expected service time, in milliseconds.
-	ServiceMillis float64           `json:"service_ms"`
-	Started       uint64            `json:"started"`
-	Finished      uint64            `json:"finished"`
-	Refused       map[string]uint64 `json:"refused"`
+	ServiceMillis float64 `json:"service_ms"`
+	Started       uint64  `json:"started"`
+	// Benefits counts the starts by the benefit that was expected at the start.
+	Benefits map[string]uint64 `json:"benefits"`
+	Finished uint64            `json:"finished"`
+	Refused  map[string]uint64 `json:"refused"`
 }
 
 // Snapshot returns the current state.
@@ -56,10 +58,16 @@
 			refused[Reason(reason).String()] = count
 		}
 	}
+	benefits := map[string]uint64{}
+	for benefit, count := range q.benefits {
+		if count > 0 {
+			benefits[Benefit(benefit).String()] = count
+		}
+	}
 	return RankSnapshot{
 		Name: q.Name, Urgency: q.Urgency, Floor: q.Floor, Waiting: q.waiting(), Running: q.running, Busy: q.busy,
 		CreditMillis: milliseconds(q.credit), ServiceMillis: milliseconds(q.serviceTime.mean),
-		Started: q.started, Finished: q.finished, Refused: refused,
+		Started: q.started, Finished: q.finished, Benefits: benefits, Refused: refused,
 	}
 }
 
--- a/admitter/types.go
+++ b/admitter/types.go
@@ -2,10 +2,10 @@
 
 import "time"
 
-//go:generate go tool stringer -type=Policy,Reason -linecomment -output=names.go
+//go:generate go tool stringer -type=Policy,Reason,Benefit -linecomment -output=names.go
 
-// Policy determines the order in which requests get slots. Policies other than Ranked serve as baselines for
-// measurements.
+// Policy determines the order in which requests get slots. Ranked serves each rank in order of arrival, and LeastCost delays
+// and refuses in each rank what costs callers least. The others serve as baselines for measurements.
 type Policy uint8
 
 // Policies.
@@ -13,8 +13,12 @@
 	Ranked      Policy = iota // ranked
 	SingleQueue               // single_queue
 	Unlimited                 // unlimited
+	LeastCost                 // least_cost
 )
 
+// ranked reports whether the policy serves the ranks in order of urgency.
+func (p Policy) ranked() bool { return p == Ranked || p == LeastCost }
+
 // MarshalText returns the name of the policy.
 func (p Policy) MarshalText() ([]byte, error) { return []byte(p.String()), nil }
 
@@ -106,7 +110,11 @@
 type Action interface{ action() }
 
 // Start gives a slot to a request. The caller reports the end of the request with Finish.
-type Start struct{ ID uint64 }
+type Start struct {
+	ID uint64
+	// Benefit is what the response is expected to be worth to its caller.
+	Benefit Benefit
+}
 
 // Refuse rejects a request without running it. RetryAfter is the time after which a retry may succeed, or zero.
 type Refuse struct {
