executor, forwarder, sidecar, daemon: both request paths use least_cost; nested requests on the users' platform

Cause: the entry treated the requests that a backend server makes while it runs another one like callers' requests. Change: an entry takes a request for nested if its id names a request that its own server runs now. The job carries Hibiscus-Nested and the parent's urgency if that is higher, waits in a rank of its own and is tried at another server if one refuses it. Setting admission (least_cost, ranked), baseline.admission likewise; counters of starts by benefit and refusals by reason, and waits, by rank; the field nested in job and request lines.

--- a/daemon/choose.go
+++ b/daemon/choose.go
@@ -62,8 +62,10 @@
 		return admitter.SingleQueue
 	case admitter.Unlimited.String():
 		return admitter.Unlimited
+	case admitter.Ranked.String():
+		return admitter.Ranked
 	}
-	return admitter.Ranked
+	return admitter.LeastCost
 }
 
 func chooserPolicy(name string) balancer.Policy {
--- a/executor/admit.go
+++ b/executor/admit.go
@@ -14,12 +14,13 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := timer.Now()
-	if !slices.ContainsFunc(g.ranks, func(r admitter.Rank) bool { return r.Name == j.Rank }) {
-		g.ranks = append(g.ranks, admitter.Rank{Name: j.Rank, Urgency: j.Priority, Target: j.LatencyTarget})
+	rank := admissionRank(j)
+	if !slices.ContainsFunc(g.ranks, func(r admitter.Rank) bool { return r.Name == rank }) {
+		g.ranks = append(g.ranks, admitter.Rank{Name: rank, Urgency: j.Priority, Target: j.LatencyTarget})
 		g.queue.Step(now, admitter.Reconfigure{Ranks: g.ranks})
 	}
 	g.arrivals.record(now, j)
-	id, decided := g.queue.Add(now, admitter.Arrive{Rank: j.Rank, Deadline: j.Deadline, Exclusive: alone})
+	id, decided := g.queue.Add(now, admitter.Arrive{Rank: rank, Deadline: j.Deadline, Nested: j.Nested, Exclusive: alone})
 	g.scheduleTick()
 	return id, decided
 }
@@ -40,12 +41,14 @@
 }
 
 // awaitSlot waits for a slot. It returns the refusal and true if the request gets none.
-func (g *Executor) awaitSlot(ctx context.Context, id uint64, decided <-chan admitter.Action) (Result, bool) {
+func (g *Executor) awaitSlot(ctx context.Context, j *Job, id uint64, decided <-chan admitter.Action) (Result, bool) {
+	start := timer.Now()
 	action, cancelled := admitter.Await(ctx, decided, func() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		g.queue.Step(timer.Now(), admitter.Cancel{ID: id})
 	})
+	g.config.OnDecision(decisionOf(j, action, timer.Now()-start))
 	r, refused := refusal(action)
 	if !cancelled {
 		return r, refused
@@ -56,6 +59,29 @@
 	return Result{Outcome: NotRun, Reason: CallerDisconnected}, true
 }
 
+// Decision is the decision on a job that asked for a slot.
+type Decision struct {
+	Rank   string
+	Nested bool
+	Waited time.Duration
+	// Started means that the job got a slot. Benefit is then what its response was expected to be worth, and otherwise Reason
+	// is the cause of the refusal.
+	Started bool
+	Benefit admitter.Benefit
+	Reason  admitter.Reason
+}
+
+func decisionOf(j *Job, a admitter.Action, waited time.Duration) Decision {
+	d := Decision{Rank: j.Rank, Nested: j.Nested, Waited: waited}
+	switch a := a.(type) {
+	case admitter.Start:
+		d.Started, d.Benefit = true, a.Benefit
+	case admitter.Refuse:
+		d.Reason = a.Reason
+	}
+	return d
+}
+
 func refusal(a admitter.Action) (Result, bool) {
 	r, refused := a.(admitter.Refuse)
 	if !refused {
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -38,6 +38,10 @@
 	Quarantine *quarantiner.Tracker
 	// OnCrash is called when the server has crashed while it ran requests.
 	OnCrash func(applier.Suspect)
+	// Policy is the order in which waiting requests get slots.
+	Policy admitter.Policy
+	// OnDecision is called for each job that got a slot or was refused one.
+	OnDecision func(Decision)
 	// OnSenderLeft is called for each job that isn't sent to the server because its sender has left.
 	OnSenderLeft func(watcher.Departure)
 }
@@ -71,6 +75,8 @@
 	tickScheduled bool
 	arrivals      arrivalRates
 	stall         carrier.StallDetector
+	// running holds the requests that the server runs.
+	running runningRequests
 	// responseSizes holds the average response size of each rank, in bytes.
 	responseSizes map[string]float64
 }
@@ -110,6 +116,9 @@
 	if c.OnCrash == nil {
 		c.OnCrash = func(applier.Suspect) {}
 	}
+	if c.OnDecision == nil {
+		c.OnDecision = func(Decision) {}
+	}
 	if c.OnSenderLeft == nil {
 		c.OnSenderLeft = func(watcher.Departure) {}
 	}
@@ -122,7 +131,10 @@
 				return platform.ResponseMatches(q.Header, h, first)
 			},
 		}),
-		queue:         admitter.NewQueue(admitter.Config{QueueLimit: queueLimit, NestedShare: nestedShare}),
+		queue: admitter.NewQueue(admitter.Config{
+			QueueLimit: queueLimit, NestedShare: nestedShare, Policy: c.Policy,
+		}),
+		running:       runningRequests{},
 		responseSizes: map[string]float64{},
 	}
 }
@@ -152,11 +164,11 @@
 	}
 }
 
-// ServiceTime returns the average time that the server takes for a request of a rank, or zero if that is unknown.
-func (g *Executor) ServiceTime(rank string) time.Duration {
+// ServiceTime returns the average time that the server takes for requests like a job, or zero if that is unknown.
+func (g *Executor) ServiceTime(j *Job) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.queue.Admitter().RankMeanServiceTime(rank)
+	return g.queue.Admitter().RankMeanServiceTime(admissionRank(j))
 }
 
 // KeyRates returns the requests per second that arrived for each part of the key space, admitted or not. Each part is
@@ -180,7 +192,7 @@
 	instance := g.server.Instance
 	g.mu.Unlock()
 	if r.Outcome != Answered {
-		_ = g.config.Logger.Log("event", "job", "id", j.ID, "rank", j.Rank, "key", j.Key, "keyed", j.Keyed, "instance", instance,
+		_ = g.config.Logger.Log("event", "job", "id", j.ID, "rank", j.Rank, "nested", j.Nested, "key", j.Key, "keyed", j.Keyed, "instance", instance,
 			"outcome", r.Outcome, "reason", r.Reason, "reached", r.Reached, "running", r.Load.Running, "waiting", r.Load.Waiting,
 			"slots", r.Load.Slots, "service_ms", r.Load.ServiceTime.Milliseconds(),
 			"ms", (timer.Now() - start).Milliseconds(),
@@ -205,7 +217,7 @@
 	g.config.Link.reserve(size)
 	defer g.config.Link.reserve(-size)
 	id, decided := g.enqueue(j, verdict == quarantiner.RunAlone)
-	if r, refused := g.awaitSlot(ctx, id, decided); refused {
+	if r, refused := g.awaitSlot(ctx, j, id, decided); refused {
 		return r
 	}
 	started := timer.Now()
@@ -221,11 +233,13 @@
 	}
 	g.mu.Lock()
 	g.stall.Started(started)
+	g.running[j.ID] = j.Priority
 	g.mu.Unlock()
 	running := g.config.Quarantine.Start(j.Fingerprint())
 	r = g.send(ctx, j, server)
 	r.Crashes = g.settle(running, r, server)
 	g.mu.Lock()
+	delete(g.running, j.ID)
 	g.stall.Ended(timer.Now(), r.Outcome == Answered || r.Reason == ServerRefused)
 	if r.Outcome == Answered && r.Response.Status < http.StatusBadRequest {
 		g.recordResponseSize(j.Rank, len(r.Response.Body))
--- a/executor/job.go
+++ b/executor/job.go
@@ -71,6 +71,9 @@
 	Detached bool
 	// Resent means that the request was sent to the same member before.
 	Resent bool
+	// Nested means that a backend server makes the request while it runs another one, whose work is lost if this one fails.
+	// Priority is then that of the other one if that is more urgent.
+	Nested bool
 	// Crashes are the crashes of servers that count against the request, as far as its sender knows.
 	Crashes []applier.InFlightCrash
 	// fingerprint is the result of Fingerprint, or zero before its first call.
@@ -118,6 +121,7 @@
 	keyField        = "Hibiscus-Key"
 	detachedField   = "Hibiscus-Detached"
 	resentField     = "Hibiscus-Resent"
+	nestedField     = "Hibiscus-Nested"
 	idField         = "Hibiscus-Request-Id"
 	outcomeField    = "Hibiscus-Outcome"
 	reasonField     = "Hibiscus-Reason"
@@ -145,6 +149,9 @@
 	if j.Resent {
 		h[resentField] = []string{"1"}
 	}
+	if j.Nested {
+		h[nestedField] = []string{"1"}
+	}
 	encodeCrashes(h, j.Crashes)
 	q := *j.Request
 	q.Header = h
@@ -156,7 +163,7 @@
 func DecodeJob(q *carrier.Request) (*Job, error) {
 	h := q.Header
 	j := &Job{ID: h.Get(idField), Request: q, Service: h.Get(serviceField), Detached: h.Get(detachedField) != ""}
-	j.Resent, j.Crashes = h.Get(resentField) != "", decodeCrashes(h)
+	j.Resent, j.Nested, j.Crashes = h.Get(resentField) != "", h.Get(nestedField) != "", decodeCrashes(h)
 	parts := strings.SplitN(h.Get(rankField), " ", 3)
 	if len(parts) != 3 {
 		return nil, errors.New("missing rank")
--- a/executor/link.go
+++ b/executor/link.go
@@ -143,7 +143,7 @@
 		return Result{}, false
 	}
 	g.mu.Lock()
-	needed := delay + g.queue.Admitter().RankMeanServiceTime(j.Rank)
+	needed := delay + g.queue.Admitter().RankMeanServiceTime(admissionRank(j))
 	g.mu.Unlock()
 	allowed := min(time.Duration(linkTargetShare*float64(j.LatencyTarget)), j.Deadline-timer.Now())
 	if needed <= allowed {
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -128,7 +128,8 @@
 		}
 	case executor.NotRun:
 		if !r.Reached {
-			return r.Reason != executor.CallerDisconnected && r.Reason != executor.DeadlineTooClose
+			// Other members may have room for a nested request, whose failure would waste the work of its parent.
+			return r.Reason != executor.CallerDisconnected && (r.Reason != executor.DeadlineTooClose || p.job.Nested)
 		}
 	}
 	if p.sends >= p.match.Route.Attempts {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -65,6 +65,8 @@
 	// Waited is the part of Elapsed for which the request waited for earlier responses of its connection.
 	Waited time.Duration
 	Sends  int
+	// Nested means that the backend server made the request while it ran another one.
+	Nested bool
 }
 
 // Forwarder forwards callers' requests. It is safe for concurrent use.
@@ -233,7 +235,7 @@
 	if call.Timeout > 0 {
 		timeout = min(timeout, call.Timeout)
 	}
-	return &forwardedRequest{
+	p := &forwardedRequest{
 		forwarder: f, match: m, version: version, service: f.service(m.Service.Name),
 		job: &executor.Job{
 			ID: call.ID, Request: q, Rank: m.Rank, Priority: m.Route.Priority, LatencyTarget: m.Route.Target,
@@ -242,6 +244,8 @@
 		},
 		hasKey: call.HasKey,
 	}
+	f.inherit(p.job)
+	return p
 }
 
 func unavailable(id string, after time.Duration, text string) *carrier.Response {
@@ -283,7 +287,7 @@
 	}
 	p.forwarder.logRequest(p.job.ID, Summary{
 		Rank: p.match.Rank, Service: p.match.Service.Name, Status: response.Status, Outcome: r.Outcome, Reason: r.Reason,
-		Elapsed: timer.Now() - p.job.Request.Received, Waited: p.job.Request.Waited, Sends: p.sends,
+		Elapsed: timer.Now() - p.job.Request.Received, Waited: p.job.Request.Waited, Sends: p.sends, Nested: p.job.Nested,
 	}, p.version, p.lastMember)
 	return response
 }
@@ -297,7 +301,7 @@
 	}
 	_ = f.config.Logger.Log("event", "request", "id", id, "rank", s.Rank, "service", s.Service, "status", s.Status,
 		"outcome", s.Outcome, "reason", s.Reason, "member", member, "sends", s.Sends, "ms", s.Elapsed.Milliseconds(),
-		"waited_ms", s.Waited.Milliseconds(),
+		"waited_ms", s.Waited.Milliseconds(), "nested", s.Nested,
 		"configuration", version, "records", f.recordsEnd())
 }
 
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -15,6 +15,7 @@
 	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 
+	"hibiscusline/admitter"
 	"hibiscusline/assigner"
 	"hibiscusline/carrier"
 	"hibiscusline/executor"
@@ -62,6 +63,7 @@
 	f.executor = executor.New(executor.Config{
 		Backend: netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")), Logger: logger, Link: link,
 		Permits: func(time.Duration, uint16) bool { return f.permitted.Load() }, OnConnectionRefused: func(string) {},
+		Policy: admitter.LeastCost,
 	})
 	f.executor.SetServer(executor.Server{Instance: "i-1", Service: "stock", Slots: 2})
 	member := registrar.Member{
@@ -95,10 +97,13 @@
 	return f
 }
 
-func (f *fixture) send(id string) *carrier.Response {
+func (f *fixture) send(id string) *carrier.Response { return f.sendFor(id, "/x", 800*time.Millisecond) }
+
+// sendFor sends the request of a caller that waits for a time.
+func (f *fixture) sendFor(id, target string, timeout time.Duration) *carrier.Response {
 	return f.forwarder.Handle(context.Background(), &carrier.Request{
-		Method: http.MethodPost, Target: "/x", Host: "h", Received: timer.Now(),
-		Header: simulator.CallHeader(id, 800*time.Millisecond, 7),
+		Method: http.MethodPost, Target: target, Host: "h", Received: timer.Now(),
+		Header: simulator.CallHeader(id, timeout, 7),
 	})
 }
 
--- a/loader/daemon.go
+++ b/loader/daemon.go
@@ -42,7 +42,7 @@
 // BaselineSettings replace policies by simpler ones that experiments compare them with. The zero value keeps the normal
 // policies. They are not meant for production, and the operators' documentation leaves them out.
 type BaselineSettings struct {
-	// Admission is ranked, single_queue or unlimited. Empty means ranked.
+	// Admission is least_cost, ranked, single_queue or unlimited. Empty means least_cost.
 	Admission string `json:"admission"`
 	// Chooser is two_choices, round_robin or reported_load. Empty means two_choices.
 	Chooser string `json:"chooser"`
@@ -140,7 +140,7 @@
 	c.duration("limits.default_timeout", s.Limits.DefaultTimeout, time.Millisecond, maxDuration)
 	c.count("limits.max_connections", s.Limits.MaxConnections, 1, maxCount)
 	c.duration("drain_timeout", s.DrainTimeout, 0, maxDuration)
-	c.choice("baseline.admission", s.Baseline.Admission, "ranked", "single_queue", "unlimited")
+	c.choice("baseline.admission", s.Baseline.Admission, "least_cost", "ranked", "single_queue", "unlimited")
 	c.choice("baseline.chooser", s.Baseline.Chooser, "two_choices", "round_robin", "reported_load")
 	return c.problems
 }
--- a/loader/sidecar.go
+++ b/loader/sidecar.go
@@ -37,6 +37,9 @@
 	MaxDescriptors int `json:"descriptors"`
 	// LinkMbps is the bandwidth of the instance's network link in Mbit/s. Zero means no limit.
 	LinkMbps float64 `json:"link_mbps"`
+	// Admission is the order in which waiting requests get the slots of the backend server: least_cost or ranked. Empty means
+	// least_cost.
+	Admission string `json:"admission"`
 	// Grants is how keys are granted to the backend server. Empty means GrantsByHeartbeat.
 	Grants GrantForm     `json:"grants"`
 	Bounds BoundSettings `json:"bounds"`
@@ -128,6 +131,7 @@
 	c.count("memory_mb", s.MemoryMB, 16, maxCount)
 	c.count("descriptors", s.MaxDescriptors, 64, maxCount)
 	c.require(s.LinkMbps >= 0, "link_mbps", fmt.Sprint(s.LinkMbps), "0 or more")
+	c.choice("admission", s.Admission, "least_cost", "ranked")
 	c.require(s.Grants == "" || s.Grants == GrantsByHeartbeat || s.Grants == GrantsByRequest, "grants", string(s.Grants),
 		"heartbeat or request")
 	c.duration("bounds.configuration", s.Bounds.Configuration, minConfigurationBound, maxDuration)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -193,6 +193,7 @@
 		Backend: s.Backend, Logger: a.logger, Permits: a.permits,
 		OnConnectionRefused: a.handleConnectionRefused, OnKeyRefused: a.refuseKey, Link: a.link, Budget: budget,
 		Quarantine: a.quarantine, OnCrash: a.handleCrash,
+		Policy: admissionPolicy(s.Admission), OnDecision: a.metrics.decision,
 		OnSenderLeft: func(d watcher.Departure) { a.metrics.senderLeft("server", d) },
 	})
 	a.forwarder = forwarder.New(forwarder.Config{
--- a/sidecar/sync.go
+++ b/sidecar/sync.go
@@ -200,7 +200,7 @@
 	if err != nil {
 		return carrier.NewResponse(http.StatusBadRequest, err.Error())
 	}
-	limit, covered := a.limitToGrace(j.Deadline, a.executor.ServiceTime(j.Rank))
+	limit, covered := a.limitToGrace(j.Deadline, a.executor.ServiceTime(j))
 	if !covered {
 		return executor.EncodeResult(executor.Result{
 			Outcome: executor.NotRun, Reason: executor.Stopping, RetryAfter: stoppingRetryAfter,
