admitter: an overload is told by its arrivals; what is admitted is served

Change: of a rank, the oldest request that may still meet its target goes first. The bound by the target applies as soon as the arrivals of the last second need more than all slots, not after half a second of standing.

--- a/admitter/choose.go
+++ b/admitter/choose.go
@@ -155,12 +155,12 @@
 	return max(time.Duration(targetShare*target)-q.serviceTime.typical(), time.Duration(minWaitShare*target))
 }
 
-// admissible reports whether a new request can finish before its deadline and, if its queue is standing, is expected to
-// wait no longer than allowedWait. If only deadlines limited a standing queue, all responses would miss the target; with
+// admissible reports whether a new request can finish before its deadline and, if its rank is overloaded, is expected to
+// wait no longer than allowedWait. If only deadlines limited the queue of an overload, all responses would miss the target; with
 // this limit, as many meet it as the slots can serve.
 func (a *Admitter) admissible(e *request) bool {
 	wait := a.expectedWait(e)
-	if e.Exclusive || e.Nested || !e.queue.standing(a.now, a.slots) {
+	if e.Exclusive || e.Nested || !a.overloaded(e.queue) {
 		return a.canMeetDeadline(e, wait)
 	}
 	return a.canMeetDeadline(e, wait) && wait <= e.queue.allowedWait()
--- a/admitter/cost.go
+++ b/admitter/cost.go
@@ -44,23 +44,29 @@
 }
 
 // leastCost returns the request of a list, oldest first, that costs most if it is delayed. Requests of one rank need equal
-// work, so it is one with the greatest benefit. Of the requests with full benefit it is the oldest, which has the least slack.
-// Of the others it is the oldest as long as all can be served, and otherwise the youngest, which is the likeliest to finish in
-// time.
+// work. Of those that may still meet the target it is the oldest, which has the least slack. If there are none, it is the
+// oldest as long as all can be served, and otherwise the youngest, which is the likeliest to finish before its deadline.
 func (a *Admitter) leastCost(q *queue, list []*request) *request {
-	best, greatest := list[0], a.benefitAfter(list[0], 0)
-	youngest := greatest != Full && a.crowded(q)
-	for _, e := range list[1:] {
-		if greatest == Full {
-			break
-		}
-		b := a.benefitAfter(e, 0)
-		if b < greatest || b == greatest && youngest {
-			best, greatest = e, b
-			youngest = b != Full && a.crowded(q)
+	for _, e := range list {
+		if a.benefitAfter(e, 0) <= Doubtful {
+			return e
 		}
 	}
-	return best
+	if a.crowded(q) {
+		return list[len(list)-1]
+	}
+	return list[0]
+}
+
+// overloaded reports whether a rank gets more work than it can have done: its queue is standing, or the latest arrivals need
+// more than all slots. The arrivals show it before the queue does, so that a burst isn't queued first and refused later.
+func (a *Admitter) overloaded(q *queue) bool {
+	if q.standing(a.now, a.slots) {
+		return true
+	}
+	belowFloor := q.busy < minFloorUse*q.Floor*float64(a.slots)
+	return a.config.Policy == LeastCost && q.Target > 0 && !belowFloor &&
+		q.arrivalRate*q.serviceTime.mean.Seconds() > float64(a.slots)
 }
 
 // crowded reports whether the requests that wait ahead of a rank or in it need more slot time than its target leaves.
