--- a/admitter/pace.go
+++ b/admitter/pace.go
@@ -25,12 +25,12 @@
 
 // paced reports whether the starts of requests are paced.
 func (a *Admitter) paced() bool {
-	return a.config.Policy == Ranked && a.pace.Cold(a.now) > 0
+	return a.config.Policy.ranked() && a.pace.Cold(a.now) > 0
 }
 
 // mayStart reports whether the pace allows a start now.
 func (a *Admitter) mayStart() bool {
-	return a.config.Policy != Ranked || a.pace.Allows(a.now)
+	return !a.config.Policy.ranked() || a.pace.Allows(a.now)
 }
 
 // pacedWait estimates how long a new request waits until a cold server may be sent it: the requests that start before it,
--- a/executor/admit.go
+++ b/executor/admit.go
@@ -40,12 +40,14 @@
 }
 
 // awaitSlot waits for a slot. It returns the refusal and true if the request gets none.
-func (g *Executor) awaitSlot(ctx context.Context, id uint64, decided <-chan admitter.Action) (Result, bool) {
+func (g *Executor) awaitSlot(ctx context.Context, j *Job, id uint64, decided <-chan admitter.Action) (Result, bool) {
+	start := timer.Now()
 	action, cancelled := admitter.Await(ctx, decided, func() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		g.queue.Step(timer.Now(), admitter.Cancel{ID: id})
 	})
+	g.config.OnDecision(decisionOf(j, action, timer.Now()-start))
 	r, refused := refusal(action)
 	if !cancelled {
 		return r, refused
@@ -56,6 +58,28 @@
 	return Result{Outcome: NotRun, Reason: CallerDisconnected}, true
 }
 
+// Decision is the decision on a job that asked for a slot.
+type Decision struct {
+	Rank   string
+	Waited time.Duration
+	// Started means that the job got a slot. Benefit is then what its response was expected to be worth, and otherwise Reason
+	// is the cause of the refusal.
+	Started bool
+	Benefit admitter.Benefit
+	Reason  admitter.Reason
+}
+
+func decisionOf(j *Job, a admitter.Action, waited time.Duration) Decision {
+	d := Decision{Rank: j.Rank, Waited: waited}
+	switch a := a.(type) {
+	case admitter.Start:
+		d.Started, d.Benefit = true, a.Benefit
+	case admitter.Refuse:
+		d.Reason = a.Reason
+	}
+	return d
+}
+
 func refusal(a admitter.Action) (Result, bool) {
 	r, refused := a.(admitter.Refuse)
 	if !refused {
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -41,6 +41,10 @@
 	OnCrash func(applier.Suspect)
 	// OnEvacuated is called for each job that is refused because the availability zone is evacuated.
 	OnEvacuated func()
+	// Policy is the order in which waiting requests get slots.
+	Policy admitter.Policy
+	// OnDecision is called for each job that got a slot or was refused one.
+	OnDecision func(Decision)
 	// OnSenderLeft is called for each job that isn't sent to the server because its sender has left.
 	OnSenderLeft func(watcher.Departure)
 	// Pace bounds the requests that a cold server gets.
@@ -124,6 +128,9 @@
 	if c.OnEvacuated == nil {
 		c.OnEvacuated = func() {}
 	}
+	if c.OnDecision == nil {
+		c.OnDecision = func(Decision) {}
+	}
 	if c.OnSenderLeft == nil {
 		c.OnSenderLeft = func(watcher.Departure) {}
 	}
@@ -136,7 +143,9 @@
 				return platform.ResponseMatches(q.Header, h, first)
 			},
 		}),
-		queue:         admitter.NewQueue(admitter.Config{QueueLimit: queueLimit, NestedShare: nestedShare, Pace: c.Pace}),
+		queue: admitter.NewQueue(admitter.Config{
+			QueueLimit: queueLimit, NestedShare: nestedShare, Policy: c.Policy, Pace: c.Pace,
+		}),
 		responseSizes: map[string]float64{},
 	}
 }
@@ -225,7 +234,7 @@
 	g.config.Link.reserve(size)
 	defer g.config.Link.reserve(-size)
 	id, decided := g.enqueue(j, verdict == quarantiner.RunAlone)
-	if r, refused := g.awaitSlot(ctx, id, decided); refused {
+	if r, refused := g.awaitSlot(ctx, j, id, decided); refused {
 		if r.Reason != CallerDisconnected {
 			g.countPaced(true)
 		}
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -15,6 +15,7 @@
 	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 
+	"hibiscusline/admitter"
 	"hibiscusline/assigner"
 	"hibiscusline/carrier"
 	"hibiscusline/executor"
@@ -62,6 +63,7 @@
 	f.executor = executor.New(executor.Config{
 		Backend: netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")), Logger: logger, Link: link,
 		Permits: func(time.Duration, uint16) bool { return f.permitted.Load() }, OnConnectionRefused: func(string) {},
+		Policy: admitter.LeastCost,
 	})
 	f.executor.SetServer(executor.Server{Instance: "i-1", Service: "stock", Slots: 2})
 	member := registrar.Member{
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -202,7 +202,8 @@
 		Backend: s.Backend, Logger: a.logger, Permits: a.permits,
 		OnConnectionRefused: a.handleConnectionRefused, OnKeyRefused: a.refuseKey, Link: a.link, Budget: budget,
 		Quarantine: a.quarantine, OnCrash: a.handleCrash,
-		Pace:         limiter.Config{Share: bounds.ColdShare, Slack: bounds.ColdSlack},
+		Pace:   limiter.Config{Share: bounds.ColdShare, Slack: bounds.ColdSlack},
+		Policy: admissionPolicy(s.Admission), OnDecision: a.metrics.decision,
 		OnSenderLeft: func(d watcher.Departure) { a.metrics.senderLeft("server", d) },
 		OnEvacuated:  func() { a.metrics.count("hibiscus_evacuation_refusals_total") },
 	})
