granter: no claims of an earlier incarnation

Cause: while the records of a new era settle, a process claims the slices to which it had the right before. If its server is started again meanwhile, the claims stayed: the new incarnation was written as their owner and granted them, under the token that the earlier one had (found by reading). Change: claims end with the incarnation. What they covered is granted after settling, under a new token. Measured: TestNoClaimOfEarlierIncarnation on the code before: 'Should be empty, but was [{0 5}]'.

--- a/granter/era_test.go
+++ b/granter/era_test.go
@@ -90,3 +90,17 @@
 	response, _ := g.Heartbeat(14*time.Second, granter.Heartbeat{Incarnation: g.Incarnation(), Sequence: 2})
 	require.Len(t, response.Grants, 280)
 }
+
+// TestNoClaimOfEarlierIncarnation guards against a server that is started again while the store's records settle, and that gets the
+// keys of its earlier life under the token that this one had.
+func TestNoClaimOfEarlierIncarnation(t *testing.T) {
+	g, table := eraFixture()
+	g.Enter(12*time.Second, 1)
+	opened := assigner.Open(older(table), 1)
+	require.Len(t, g.Unwritten(opened), 1)
+	g.Heartbeat(13*time.Second, granter.Heartbeat{Incarnation: assigner.Incarnation{Instance: "i", Born: 2}, Sequence: 1})
+	require.Empty(t, g.Unwritten(opened))
+	require.Zero(t, g.ClaimCount())
+	g.Observe(opened, 14*time.Second)
+	require.Equal(t, 26*time.Second, g.LeaseEnd(), "nothing is left to disagree with")
+}
--- a/granter/granter.go
+++ b/granter/granter.go
@@ -174,6 +174,8 @@
 		g.resumed = false
 		if g.incarnation != (assigner.Incarnation{}) {
 			g.DropGrants()
+			// The successor may only get the keys under higher tokens.
+			clear(g.claims)
 			g.lapseAt, g.earlierGrantsEnd = now, 0
 			g.grantsInFlight, g.staleGrants = 0, 0
 		}
