evacuator: an evacuation that is written again in a later era keeps its age

Cause: when the store comes back without an evacuation, the operator writes it again. The new record was taken for a new evacuation: requests reached the zone's servers again for up to nine tenths of the bound, although it had long been in force (found by reading). Change: if no end was seen between, the record of the later era has the age of the one that it replaces, at this process. The records that processes tell each other are as before. Measured: TestEraKeepsAge on the code before: expected 0s, actual 1m42s.

--- a/evacuator/evacuator.go
+++ b/evacuator/evacuator.go
@@ -40,11 +40,13 @@
 	eraSince time.Duration
 	// restored holds when the evacuation of a zone was seen to end.
 	restored map[string]time.Duration
+	// carried holds Since of the evacuations of an earlier era that those of a later one have replaced without an end between.
+	carried map[string]time.Duration
 }
 
 // New returns a Set that knows nothing.
 func New() *Set {
-	return &Set{state: State{Records: map[string]Record{}}, restored: map[string]time.Duration{}}
+	return &Set{state: State{Records: map[string]Record{}}, restored: map[string]time.Duration{}, carried: map[string]time.Duration{}}
 }
 
 // Change is the beginning or the end of the evacuation of a zone.
@@ -167,15 +169,35 @@
 		switch {
 		case is.Evacuated && (!was.Evacuated || was.Position != is.Position):
 			delete(s.restored, zone)
-			list = append(list, Change{Record: is})
+			s.carry(was, is)
+			list = append(list, Change{Record: s.withAge(is)})
 		case was.Evacuated && !is.Evacuated:
 			s.restored[zone] = now
+			delete(s.carried, zone)
 			list = append(list, Change{Record: Record{Zone: zone, Position: s.state.Complete}})
 		}
 	}
 	return list
 }
 
+// carry keeps the age of an evacuation that one of a later era replaces: the operator has written again what the store had lost.
+func (s *Set) carry(was, is Record) {
+	switch {
+	case !was.Evacuated || was.Position.Era == is.Position.Era:
+		delete(s.carried, is.Zone)
+	default:
+		s.carried[is.Zone] = s.withAge(was).Since
+	}
+}
+
+// withAge returns the record of an evacuation with the age that it has with those of earlier eras.
+func (s *Set) withAge(r Record) Record {
+	if since, carried := s.carried[r.Zone]; carried {
+		r.Since = min(r.Since, since)
+	}
+	return r
+}
+
 // State returns a copy of what is known.
 func (s *Set) State() State {
 	s.mu.Lock()
@@ -203,7 +225,7 @@
 func (s *Set) Evacuated(zone string) (Record, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r := s.state.Records[zone]
+	r := s.withAge(s.state.Records[zone])
 	return r, r.Evacuated
 }
 
@@ -233,6 +255,7 @@
 func (s *Set) News(now time.Duration, other State) bool {
 	mine := s.State()
 	maps.DeleteFunc(mine.Records, func(_ string, r Record) bool { return r.Position.Era < mine.Complete.Era })
-	o := Set{state: other, eraSince: now, restored: map[string]time.Duration{}}
+	o := New()
+	o.state, o.eraSince = other, now
 	return len(o.Merge(now, mine)) > 0
 }
--- a/evacuator/evacuator_test.go
+++ b/evacuator/evacuator_test.go
@@ -164,3 +164,27 @@
 	require.Empty(t, s.Merge(time.Second+EraHold, restarted.State()), "it doesn't come back")
 	require.Equal(t, []string{"a"}, s.Zones())
 }
+
+// TestEraKeepsAge guards against an evacuation that has long been in force and is taken for a new one, with time to stop, when the
+// operator writes it again after the store came back without it.
+func TestEraKeepsAge(t *testing.T) {
+	for _, since := range []time.Duration{0, 50 * time.Second} {
+		s := New()
+		s.List(100*time.Second, at(9), []Record{{Zone: "a", Position: at(8), Evacuated: true, Since: since}})
+		era, next := registrar.Position{Era: 1, Offset: 5}, registrar.Position{Era: 1, Offset: 6}
+		s.List(101*time.Second, era, nil)
+		again := Record{Zone: "a", Position: era, Evacuated: true, Since: 102 * time.Second}
+		changes := s.Read(103*time.Second, era, next, []Record{again})
+		require.Len(t, changes, 1)
+		require.Equal(t, since, changes[0].Record.Since)
+		s.Merge(104*time.Second, State{Known: true, Complete: next, Records: map[string]Record{"a": again}})
+		r, _ := s.Evacuated("a")
+		require.Equal(t, since, r.Since)
+		end := registrar.Position{Era: 1, Offset: 8}
+		s.Read(105*time.Second, next, registrar.Position{Era: 1, Offset: 7}, []Record{{Zone: "a", Position: next}})
+		s.Read(106*time.Second, registrar.Position{Era: 1, Offset: 7}, end,
+			[]Record{{Zone: "a", Position: registrar.Position{Era: 1, Offset: 7}, Evacuated: true, Since: 105 * time.Second}})
+		r, _ = s.Evacuated("a")
+		require.Equal(t, 105*time.Second, r.Since, "a new evacuation after its end")
+	}
+}
