--- a/sidecar/sync.go
+++ b/sidecar/sync.go
@@ -365,8 +365,8 @@
 	}
 }
 
-// updatesSince returns the records from a position on, or all if the position is of an earlier era, and the configuration, as the query asks for it, for a request that was
-// received at a time. The header says where the store has the configuration.
+// updatesSince returns the records from a position on, or all if the position is of an earlier era, and the configuration, as the
+// query asks for it, for a request that was received at a time. The header says where the store has the configuration.
 func (a *Sidecar) updatesSince(known registrar.Position, received time.Duration, q documentQuery) (syncResponse, http.Header) {
 	a.applyMu.Lock()
 	defer a.applyMu.Unlock()
