sidecar, assigner, forwarder: servers of a restored zone come back sooner

The zone was left after a quarter of the bound. Change: where servers have a cold rate, the ramp is 2 s, and owners get up to 0.7 of their even share once the cold time has passed; elsewhere after the ramp. Entries leave the zone after 0.4 of the bound, the process beside the server after half. Moved slices join their neighbours only if they don't fit into the grants otherwise, since busy keys are neighbours. Tests of evacuations and cold servers in assigner, forwarder, executor and sidecar pass.

--- a/assigner/evacuation_test.go
+++ b/assigner/evacuation_test.go
@@ -66,7 +66,15 @@
 		require.Equal(t, len(table.Slices)/9/6, next.SliceCounts()[o])
 	}
 	table, _ = finishMoves(next)
-	require.Nil(t, assigner.Plan(table, view), "the rest follows by load")
+	require.Nil(t, assigner.Plan(table, view), "the rest follows once the servers are warm")
+	for i := range 6 {
+		view.Candidates[i].Returning, view.Candidates[i].Restored = false, true
+	}
+	table, _ = finishMoves(assigner.Plan(table, view))
+	for _, o := range owners[:6] {
+		require.Equal(t, len(table.Slices)/9, table.SliceCounts()[o])
+	}
+	require.Nil(t, assigner.Plan(table, view))
 	for i := range view.Candidates {
 		view.Candidates[i].Evacuated, view.Candidates[i].Usable = true, false
 	}
--- a/assigner/plan.go
+++ b/assigner/plan.go
@@ -19,8 +19,9 @@
 	// Evacuated means that the member is in an evacuated availability zone. Its slices move like those of a leaving one, but not
 	// those of all such members at once.
 	Evacuated bool
-	// Returning means that the evacuation ended a short time ago, so that the member gets only some slices.
-	Returning bool
+	// Returning means that the evacuation ended a short time ago, so that the member gets only some slices, and Restored that it
+	// ended before that, so that the member gets the rest.
+	Returning, Restored bool
 	// Unreachable means that the planning process cannot reach the member at present.
 	Unreachable bool
 	// Cold means that the server is cold while others are warm and have room, so that it gets keys after them.
@@ -175,7 +176,7 @@
 		to, found := p.table.OwnerOf(i)
 		if s.Owner == 0 {
 			to, found = p.fewestSlices(count), true
-			if fairShare > slicesPerOwner && slices.Contains(p.usable, previous) && count[previous] < fairShare {
+			if fairShare > p.table.maxGrants() && slices.Contains(p.usable, previous) && count[previous] < fairShare {
 				to = previous
 			}
 			assigned[to] = append(assigned[to], i)
@@ -274,7 +275,8 @@
 // hands slices over changes the table, and slices aren't served while they move.
 const evacuationDivisor = 4
 
-// moveAll sets targets for all slices of an owner and returns their number.
+// moveAll sets targets for all slices of an owner and returns their number. If the others get more slices than fit into the
+// grants of an owner, the slices join their neighbours.
 func (p *planner) moveAll(o Owner, count map[Owner]int) int {
 	moved, fairShare := 0, len(p.table.Slices)/len(p.usable)+1
 	var previous Owner
@@ -310,12 +312,16 @@
 func (p *planner) planNewOwnerMoves(count map[Owner]int) {
 	fairShare := len(p.table.Slices) / len(p.usable)
 	for _, o := range p.usable {
-		if float64(count[o]) >= newOwnerShare*float64(fairShare) || p.cold(o) {
-			continue
-		}
-		share := fairShare
-		if c, _ := p.candidate(o.Member); c.Returning {
+		c, _ := p.candidate(o.Member)
+		share, least := fairShare, newOwnerShare
+		switch {
+		case c.Returning:
 			share /= returningDivisor
+		case c.Restored:
+			least = restoredShare
+		}
+		if float64(count[o]) >= least*float64(fairShare) || p.cold(o) {
+			continue
 		}
 		// The step size scatters the slices of the new owner over the keys.
 		n := len(p.table.Slices)
@@ -328,9 +334,13 @@
 	}
 }
 
-// returningDivisor is the part of the fair share that an owner gets back at once after an evacuation, as a divisor. Balancing
-// by load gives it the rest.
-const returningDivisor = 6
+const (
+	// returningDivisor is the part of the fair share that an owner gets back at once after an evacuation, as a divisor.
+	returningDivisor = 6
+	// restoredShare is the fraction of the fair share up to which an owner gets back slices after that. Balancing by load gives
+	// it the rest.
+	restoredShare = 0.7
+)
 
 // fillStep is a prime larger than maxSlices, so that stepping by it modulo the number of slices visits every slice.
 const fillStep = 10_007
--- a/forwarder/ages.go
+++ b/forwarder/ages.go
@@ -5,6 +5,7 @@
 
 	"hibiscusline/assigner"
 	"hibiscusline/balancer"
+	"hibiscusline/matcher"
 	"hibiscusline/registrar"
 )
 
@@ -34,3 +35,15 @@
 
 // of returns the age of the server of a member.
 func (a serverAges) of(now time.Duration, member string) time.Duration { return now - a[member].since }
+
+// restoredRampUp is the time over which the servers of a service with a cold rate get their share of requests again after an
+// evacuation. What reaches them while they are cold is bounded by that rate.
+const restoredRampUp = 2 * time.Second
+
+// ageSinceRestore returns the age at which a server counts whose availability zone was evacuated until a time ago.
+func ageSinceRestore(since time.Duration, s matcher.Service) time.Duration {
+	if s.ColdRate > 0 {
+		return since * (balancer.DefaultRampUp / restoredRampUp)
+	}
+	return since
+}
--- a/forwarder/evacuation_test.go
+++ b/forwarder/evacuation_test.go
@@ -30,11 +30,12 @@
 		Evacuated:  func(zone string) bool { return evacuated[zone] },
 		RestoredAt: func(zone string) time.Duration { return restoredAt[zone] },
 	})
+	service := matcher.Service{Name: "s"}
 	picks := func() map[string]int {
 		count := map[string]int{}
 		for range 1000 {
 			p := &forwardedRequest{
-				forwarder: f, service: f.service("s"), job: &executor.Job{}, match: matcher.Match{Service: matcher.Service{Name: "s"}},
+				forwarder: f, service: f.service("s"), job: &executor.Job{}, match: matcher.Match{Service: service},
 			}
 			if m, found := p.pickMember(); found {
 				count[m.Name]++
@@ -49,6 +50,10 @@
 	require.Equal(t, map[string]int{"b": 1000}, picks())
 	evacuated["a"], restoredAt["a"] = false, timer.Now()
 	require.Less(t, picks()["a"], 250)
+	service.ColdRate, restoredAt["a"] = 16, timer.Now()-2*time.Second
+	require.InDelta(t, 500, picks()["a"], 150, "the cold rate bounds what reaches these servers")
+	service.ColdRate = 0
+	require.Less(t, picks()["a"], 350)
 	evacuated["a"], evacuated["b"] = true, true
 	require.Empty(t, picks())
 }
--- a/forwarder/forwarding.go
+++ b/forwarder/forwarding.go
@@ -195,7 +195,7 @@
 		c := balancer.Candidate{ID: memberID(m.Name), Zone: m.Zone, Slots: m.Slots}
 		c.Age = p.service.ages.of(now, m.Name)
 		if at := p.forwarder.config.RestoredAt(m.Zone); at != 0 {
-			c.Age = min(c.Age, now-at)
+			c.Age = min(c.Age, ageSinceRestore(now-at, p.match.Service))
 		}
 		c.ColdWait = p.coldWait(now, m, len(v.Members))
 		if l, known := p.service.loads[m.Name]; known {
--- a/sidecar/evacuation.go
+++ b/sidecar/evacuation.go
@@ -18,11 +18,12 @@
 // evacuationsField is the field with the state of the evacuations.
 const evacuationsField = executor.FieldPrefix + "Evacuations"
 
-// Shares of the bound of an evacuation after which the server of the zone gets no more requests, counted from a time at which
-// there was no evacuation. Entries choose other servers as soon as they know. Requests for keys continue longer, until the
-// keys have moved.
+// Shares of the bound of an evacuation, counted from a time at which there was no evacuation: after entryEvacuationShare entries
+// choose other servers, and after evacuationShare the server of the zone gets no more requests. Requests for keys continue
+// longer, until the keys have moved.
 const (
-	evacuationShare      = 0.25
+	entryEvacuationShare = 0.4
+	evacuationShare      = 0.5
 	keyedEvacuationShare = 0.9
 )
 
@@ -175,6 +176,12 @@
 	}
 }
 
+// leftByEntries reports whether the servers of a zone get no more requests without a key from this process.
+func (a *Sidecar) leftByEntries(zone string) bool {
+	r, evacuated := a.evacuations.Evacuated(zone)
+	return evacuated && timer.Now() >= r.Since+time.Duration(entryEvacuationShare*float64(a.bounds.Evacuation))
+}
+
 // isEvacuated reports whether a zone is evacuated.
 func (a *Sidecar) isEvacuated(zone string) bool {
 	_, evacuated := a.evacuations.Evacuated(zone)
@@ -191,8 +198,17 @@
 	return timer.Now() >= from
 }
 
-// returning reports whether the evacuation of a zone ended so recently that its owners get their keys back by degrees.
-func (a *Sidecar) returning(zone string) bool {
+// returnsFrom reports whether the evacuation of a zone ended so recently that its servers may still be cold, and whether it ended
+// so recently that its owners still get their keys back after that.
+func (a *Sidecar) returnsFrom(zone string) (returning, restored bool) {
 	at := a.evacuations.RestoredAt(zone)
-	return at != 0 && timer.Now()-at < balancer.DefaultRampUp
+	if at == 0 {
+		return false, false
+	}
+	cold := balancer.DefaultRampUp
+	if s := a.serviceOf(a.settings.Service); s.ColdRate > 0 {
+		cold = s.ColdTime
+	}
+	since := timer.Now() - at
+	return since < cold, since >= cold && since < cold+balancer.DefaultRampUp
 }
--- a/sidecar/plan.go
+++ b/sidecar/plan.go
@@ -148,11 +148,12 @@
 	}
 	cold := a.coldOwners(service)
 	for _, m := range v.ByService[service] {
-		_, evacuated := a.evacuations.Evacuated(m.Zone)
+		evacuated := a.isEvacuated(m.Zone)
+		returning, restored := a.returnsFrom(m.Zone)
 		view.Candidates = append(view.Candidates, assigner.Candidate{
 			Owner: m.Owner(), Usable: m.State == registrar.Ready && !m.Stopping && !evacuated,
 			Ended: m.State == registrar.Ended, Leaving: m.State == registrar.Draining,
-			Evacuated: evacuated && m.State == registrar.Ready, Returning: a.returning(m.Zone),
+			Evacuated: evacuated && m.State == registrar.Ready, Returning: returning, Restored: restored,
 			Unreachable: m.Name != a.settings.Name && a.peers.DownFor(m.Peer) > 0,
 			Cold:        cold[m.Name],
 		})
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -213,7 +213,7 @@
 		Seed: rand.Uint64(), Quarantine: a.quarantine,
 		Observe: a.metrics.request, Limit: a.limitToGrace, Refresh: a.refreshFrom,
 		Freshness: a.freshness, MaxAge: bounds.Configuration,
-		Evacuated: a.isEvacuated, KeysRefused: a.refusesKeys, RestoredAt: a.evacuations.RestoredAt,
+		Evacuated: a.leftByEntries, KeysRefused: a.refusesKeys, RestoredAt: a.evacuations.RestoredAt,
 		OnSenderLeft: func(d watcher.Departure) { a.metrics.senderLeft("entry", d) },
 	})
 	a.callerServer = carrier.NewServer(carrier.ServerConfig{
