--- a/executor/executor.go
+++ b/executor/executor.go
@@ -86,6 +86,7 @@
 	// responseSizes holds the average response size of each rank, in bytes.
 	responseSizes map[string]float64
 	cold          coldCounter
+	slowness      reportedSlowness
 	// lastResponse is when the server last answered a request.
 	lastResponse time.Duration
 }
@@ -174,7 +175,7 @@
 	return Load{
 		Running: g.queue.Running(), Waiting: g.queue.Waiting(), Slots: g.server.Slots, ServiceTime: serviceTime,
 		Offered: g.arrivals.rate(timer.Now()) * serviceTime.Seconds() / float64(max(g.server.Slots, 1)),
-		ColdFor: cold, ColdRoom: room,
+		ColdFor: cold, ColdRoom: room, Slowness: g.slowness.at(timer.Now(), g.server.Instance),
 	}
 }
 
--- a/executor/send.go
+++ b/executor/send.go
@@ -24,6 +24,7 @@
 	if err != nil {
 		return g.failedExchange(ctx, err, s)
 	}
+	g.noteSlowness(timer.Now(), s, response.Header)
 	switch platform.DecodeResult(response.Status, response.Header) {
 	case platform.NotRun:
 		if j.Keyed && response.Status == http.StatusMisdirectedRequest {
