balancer: candidates are drawn and compared by their speed

Cause: servers that differ in speed by two got almost the same number of requests. Change: where at least two candidates have an expected time, both candidates of a choice are drawn in proportion to slots and speed, and their loads are divided by the speed.

--- a/balancer/candidate.go
+++ b/balancer/candidate.go
@@ -75,6 +75,8 @@
 	ReportAge        time.Duration
 	// ColdWait is how long a request would wait because the member's backend server is cold and has no room, or zero.
 	ColdWait time.Duration
+	// Expected is how long work is expected to take at the member now, or zero if that is unknown.
+	Expected time.Duration
 }
 
 // ChooserConfig configures a Chooser. Zero durations select the defaults.
@@ -106,11 +108,12 @@
 	memberExpiry = time.Minute
 )
 
-// reportPenalty is the part of a candidate's load score that comes from its load report.
-func (c Candidate) reportPenalty(inFlight int) float64 {
+// reportPenalty is the part of a candidate's load score that comes from its load report, given its speed as a multiple of the
+// others'.
+func (c Candidate) reportPenalty(inFlight int, speed float64) float64 {
 	if c.ReportAge < 0 || c.ReportAge >= maxReportAge || c.ReportedInFlight <= inFlight {
 		return 0
 	}
-	others := float64(c.ReportedInFlight-inFlight) / float64(max(c.Slots, 1))
+	others := float64(c.ReportedInFlight-inFlight) / float64(max(c.Slots, 1)) / speed
 	return reportWeight * min(others, 1) * (1 - float64(c.ReportAge)/float64(maxReportAge))
 }
--- a/balancer/chooser.go
+++ b/balancer/chooser.go
@@ -22,7 +22,9 @@
 	reviewedAt     time.Duration
 	nextIndex      int
 	zoneWeights    map[string]int
-	counts         ChooserCounts
+	// meanSpeed is the mean speed of the candidates of the latest pick, in requests per second, or zero if it is unknown.
+	meanSpeed float64
+	counts    ChooserCounts
 }
 
 // NewChooser returns a Chooser without observations.
@@ -48,6 +50,7 @@
 		return 0, false
 	}
 	c.review(candidates)
+	c.setSpeeds(candidates)
 	switch c.config.Policy {
 	case RoundRobin:
 		c.nextIndex++
@@ -109,10 +112,11 @@
 	return &candidates[offset]
 }
 
-// sample draws up to two usable candidates of the zone and up to two of other zones, uniformly at random. It also
-// returns one of the recently started candidates that it left out, or nil.
+// sample draws up to two usable candidates of the zone and up to two of other zones, uniformly at random, or by capacity if
+// expected times are known. It also returns one of the recently started candidates that it left out, or nil.
 func (c *Chooser) sample(candidates []Candidate, zone string) (local, remote [2]*Candidate, cold *Candidate) {
 	var seenLocal, seenRemote, seenCold int
+	var weightedLocal, weightedRemote sampleByCapacity
 	for i := range candidates {
 		candidate := &candidates[i]
 		if _, ejected := c.ejected[candidate.ID]; ejected || candidate.Tried {
@@ -124,12 +128,20 @@
 			if c.random.IntN(seenCold) == 0 {
 				cold = candidate
 			}
+		case c.meanSpeed > 0 && candidate.Zone == zone:
+			weightedLocal.add(c, candidate)
+		case c.meanSpeed > 0:
+			weightedRemote.add(c, candidate)
 		case candidate.Zone == zone:
 			c.addToReservoir(&local, &seenLocal, candidate)
 		default:
 			c.addToReservoir(&remote, &seenRemote, candidate)
 		}
 	}
+	if c.meanSpeed > 0 {
+		local = [2]*Candidate{weightedLocal[0].candidate, weightedLocal[1].candidate}
+		remote = [2]*Candidate{weightedRemote[0].candidate, weightedRemote[1].candidate}
+	}
 	return local, remote, cold
 }
 
@@ -164,22 +176,23 @@
 		return first
 	}
 	x, y := c.loadScore(*first), c.loadScore(*second)
-	if y < x || x == y && c.random.IntN(2) == 0 {
+	if y < x || x == y && c.meanSpeed == 0 && c.random.IntN(2) == 0 {
 		return second
 	}
 	return first
 }
 
-// loadScore estimates the load of a candidate: requests in flight per slot, the limited penalty of its load report,
-// and the shares of recent requests that it shed or failed. Without these shares, a member that rejects or fails
-// requests at once would look idle, because few of its requests are in flight.
+// loadScore estimates the load of a candidate: requests in flight per slot and the limited penalty of its load report, both
+// divided by its speed, and the shares of recent requests that it shed or failed. Without these shares, a member that rejects
+// or fails requests at once would look idle, because few of its requests are in flight.
 func (c *Chooser) loadScore(candidate Candidate) float64 {
 	h, known := c.members[candidate.ID]
 	if !known {
-		return candidate.reportPenalty(0) + c.coldPenalty(candidate)
+		return candidate.reportPenalty(0, c.speed(candidate)) + c.coldPenalty(candidate)
 	}
-	return c.coldPenalty(candidate) + float64(h.inFlight)/float64(max(candidate.Slots, 1)) + candidate.reportPenalty(h.inFlight) +
-		h.shedShare(c.now) + failureWeight*h.failureShare(c.now)
+	speed := c.speed(candidate)
+	load := float64(h.inFlight)/float64(max(candidate.Slots, 1))/speed + candidate.reportPenalty(h.inFlight, speed)
+	return c.coldPenalty(candidate) + load + h.shedShare(c.now) + failureWeight*h.failureShare(c.now)
 }
 
 func (c *Chooser) leastReported(candidates []Candidate) applier.MemberID {
--- a/balancer/zone.go
+++ b/balancer/zone.go
@@ -11,17 +11,18 @@
 	for _, w := range c.zoneWeights {
 		totalWeight += w
 	}
-	localSlots, allSlots := 0, 0
+	localSlots, allSlots := 0.0, 0.0
 	for i := range candidates {
-		allSlots += candidates[i].Slots
+		slots := float64(candidates[i].Slots) * c.speed(candidates[i])
+		allSlots += slots
 		if candidates[i].Zone == zone {
-			localSlots += candidates[i].Slots
+			localSlots += slots
 		}
 	}
 	if c.zoneWeights[zone] == 0 || allSlots == 0 {
 		return 1
 	}
-	return min(float64(localSlots)*float64(totalWeight)/(float64(allSlots)*float64(c.zoneWeights[zone])), 1)
+	return min(localSlots*float64(totalWeight)/(allSlots*float64(c.zoneWeights[zone])), 1)
 }
 
 // spillThreshold is the reported load, as a share of the slots, from which a zone sends the requests beyond its local
