--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -7,6 +7,7 @@
 
 	"hibiscusline/balancer"
 	"hibiscusline/carrier"
+	"hibiscusline/estimator"
 	"hibiscusline/executor"
 	"hibiscusline/registrar"
 	"hibiscusline/timer"
@@ -34,6 +35,7 @@
 	p.service.chooser.Finished(now, id, balancerOutcome(r), now-start)
 	if r.Load.Slots > 0 {
 		p.service.loads[m.Name] = reportedLoad{Load: r.Load, reportedAt: now}
+		p.service.estimator.Report(now, m.Name, estimator.Report{ServiceTime: r.Load.ServiceTime, Slowness: r.Load.Slowness})
 	}
 	p.service.cold.record(m.Name, now, p.job.Priority, r)
 	p.service.linkRefusals.record(refusalKey{m.Name, p.match.Rank}, now, r)
@@ -46,6 +48,7 @@
 	}
 	if r.Outcome == executor.Answered {
 		p.lastAnswered = &r
+		p.service.estimator.Observe(now, m.Name, now-start)
 	}
 	if r.Outcome == executor.Unknown && p.unknownReason == executor.NoReason {
 		p.unknownReason = r.Reason
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -13,6 +13,7 @@
 
 	"hibiscusline/balancer"
 	"hibiscusline/carrier"
+	"hibiscusline/estimator"
 	"hibiscusline/executor"
 	"hibiscusline/matcher"
 	"hibiscusline/platform"
@@ -106,6 +107,7 @@
 	loads              map[string]reportedLoad
 	linkRefusals       linkRefusals
 	cold               coldServers
+	estimator          *estimator.Estimator
 }
 
 type reportedLoad struct {
@@ -155,7 +157,7 @@
 			transparentRetries: retrier.NewBudget(f.config.TransparentRetries),
 			retries:            retrier.NewBudget(f.config.Retries),
 			ages:               serverAges{}, loads: map[string]reportedLoad{},
-			linkRefusals: linkRefusals{}, cold: coldServers{},
+			linkRefusals: linkRefusals{}, cold: coldServers{}, estimator: estimator.NewEstimator(),
 		}
 		f.services[name] = s
 	}
@@ -183,6 +185,20 @@
 	return loads
 }
 
+// Expected returns how long work is expected to take now at each member of a service whose server says how slow it is.
+func (f *Forwarder) Expected(name string) map[string]time.Duration {
+	s := f.service(name)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	expected := map[string]time.Duration{}
+	for member := range s.loads {
+		if t := s.estimator.Expected(timer.Now(), member); t > 0 {
+			expected[member] = t
+		}
+	}
+	return expected
+}
+
 // serviceTime returns the longest average service time that a member has reported recently, or zero.
 func (s *serviceState) serviceTime() time.Duration {
 	s.mu.Lock()
--- a/forwarder/forwarding.go
+++ b/forwarder/forwarding.go
@@ -197,6 +197,7 @@
 		if at := p.forwarder.config.RestoredAt(m.Zone); at != 0 {
 			c.Age = min(c.Age, now-at)
 		}
+		c.Expected = p.service.estimator.Expected(now, m.Name)
 		c.ColdWait = p.coldWait(now, m, len(v.Members))
 		if l, known := p.service.loads[m.Name]; known {
 			c.ReportedInFlight, c.ReportAge = l.Running+l.Waiting, now-l.reportedAt
