--- a/executor/slowness_test.go
+++ b/executor/slowness_test.go
@@ -1,11 +1,12 @@
 package executor
 
 import (
-	"net/http"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"hibiscusline/platform/simulator"
 )
 
 // TestSlowness guards against a report of a server that counts for its successor, for longer than it is worth something, or as
@@ -13,7 +14,7 @@
 func TestSlowness(t *testing.T) {
 	g, now := New(Config{}), time.Hour
 	note := func(instance, text string) {
-		g.noteSlowness(now, Server{Instance: instance}, http.Header{"Server-Load": {text}})
+		g.noteSlowness(now, Server{Instance: instance}, simulator.LoadHeader(text))
 	}
 	require.Zero(t, g.slowness.at(now, ""))
 	note("i-1", "1, 0, 9, 300")
