--- a/balancer/chooser.go
+++ b/balancer/chooser.go
@@ -167,7 +167,7 @@
 // the other members exceed this score, the candidate takes requests from them. Without it, one warm member among cold
 // ones received all requests.
 func (c *Chooser) coldScore(candidate Candidate) float64 {
-	return (c.loadScore(candidate) + 1/float64(max(candidate.Slots, 1))) / c.rampShare(candidate)
+	return (c.loadScore(candidate) + 1/float64(max(candidate.Slots, 1))/c.speed(candidate)) / c.rampShare(candidate)
 }
 
 func (c *Chooser) lowerScore(sample [2]*Candidate) *Candidate {
