--- a/executor/executor.go
+++ b/executor/executor.go
@@ -212,7 +212,7 @@
 	if r.Outcome != Answered {
 		_ = g.config.Logger.Log("event", "job", "id", j.ID, "rank", j.Rank, "key", j.Key, "keyed", j.Keyed, "instance", instance,
 			"outcome", r.Outcome, "reason", r.Reason, "reached", r.Reached, "running", r.Load.Running, "waiting", r.Load.Waiting,
-			"slots", r.Load.Slots, "service_ms", r.Load.ServiceTime.Milliseconds(),
+			"slots", r.Load.Slots, "service_ms", r.Load.ServiceTime.Milliseconds(), "slowness", r.Load.Slowness,
 			"ms", (timer.Now() - start).Milliseconds(),
 			"left_ms", (j.Deadline - timer.Now()).Milliseconds(), "retry_after_ms", r.RetryAfter.Milliseconds())
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -185,14 +186,26 @@
 	return loads
 }
 
-// Expected returns how long work is expected to take now at each member of a service whose server says how slow it is.
-func (f *Forwarder) Expected(name string) map[string]time.Duration {
-	s := f.service(name)
+// Expected returns, by service, how long work is expected to take now at each member whose server says how slow it is.
+func (f *Forwarder) Expected() map[string]map[string]time.Duration {
+	f.mu.Lock()
+	services := maps.Clone(f.services)
+	f.mu.Unlock()
+	all := map[string]map[string]time.Duration{}
+	for name, s := range services {
+		if expected := s.expected(timer.Now()); len(expected) > 0 {
+			all[name] = expected
+		}
+	}
+	return all
+}
+
+func (s *serviceState) expected(now time.Duration) map[string]time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	expected := map[string]time.Duration{}
 	for member := range s.loads {
-		if t := s.estimator.Expected(timer.Now(), member); t > 0 {
+		if t := s.estimator.Expected(now, member); t > 0 {
 			expected[member] = t
 		}
 	}
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -325,3 +326,27 @@
 	require.EqualValues(t, callers, requests.Load())
 	require.Zero(t, peers.DownFor(peer))
 }
+
+// TestExpected guards against a figure in a server's load that doesn't reach the choice of a member or reaches callers, and
+// against an estimate where servers send three figures.
+func TestExpected(t *testing.T) {
+	const work = 20 * time.Millisecond
+	for load, estimated := range map[string]bool{"1, 0, 2, 100": true, "1, 0, 2": false} {
+		f := newFixture(t, matcher.Idempotent, false, func(w http.ResponseWriter, _ *http.Request) {
+			time.Sleep(work)
+			maps.Copy(w.Header(), simulator.LoadHeader(load))
+			simulator.Sign(w)
+		})
+		for range 3 {
+			r := f.send("a")
+			require.Equal(t, http.StatusOK, r.Status)
+			require.False(t, simulator.HasLoad(r.Header))
+		}
+		expected := f.forwarder.Expected()["stock"]
+		if !estimated {
+			require.Empty(t, expected)
+			continue
+		}
+		require.GreaterOrEqual(t, expected["one"], work)
+	}
+}
--- a/sidecar/meters.go
+++ b/sidecar/meters.go
@@ -34,6 +34,8 @@
 	a.metrics.set.NewGauge("hibiscus_log_lines_dropped", func() float64 { return float64(a.logWriter.dropped.Load()) })
 	a.metrics.set.NewGauge("hibiscus_slots_running", func() float64 { return float64(a.executor.Load().Running) })
 	a.metrics.set.NewGauge("hibiscus_requests_waiting", func() float64 { return float64(a.executor.Load().Waiting) })
+	a.metrics.set.NewGauge("hibiscus_server_slowness", func() float64 { return a.executor.Load().Slowness })
+	a.metrics.set.NewGauge("hibiscus_service_seconds", func() float64 { return a.executor.Load().ServiceTime.Seconds() })
 	a.metrics.set.NewGauge("hibiscus_link_backlog_seconds", func() float64 { return a.link.Backlog().Seconds() })
 	a.metrics.set.NewGauge("hibiscus_configuration_age_seconds", func() float64 { return a.configurationAge.Age(timer.Now()).Seconds() })
 	a.metrics.set.NewGauge("hibiscus_store_answered_seconds", func() float64 { return a.store.AnsweredFor(timer.Now()).Seconds() })
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -79,6 +79,8 @@
 	LeaseLeft string             `json:"lease_left"`
 	StoreDown string             `json:"store_down"`
 	Slices    map[string]int     `json:"slices"`
+	// Expected is how long work is expected to take now, in milliseconds, by service and member.
+	Expected map[string]map[string]int64 `json:"expected_ms"`
 }
 
 func (a *Sidecar) serveDump(w http.ResponseWriter, _ *http.Request) {
@@ -89,7 +91,7 @@
 		Name: a.settings.Name, Version: a.version(), End: v.End, Server: a.server.incarnation.Instance,
 		State: a.server.state.String(), Running: load.Running, Waiting: load.Waiting,
 		LeaseLeft: (a.granter.LeaseEnd() - timer.Now()).String(), StoreDown: a.storeHealth.downFor().String(),
-		Slices: map[string]int{},
+		Slices: map[string]int{}, Expected: map[string]map[string]int64{},
 	}
 	a.mu.Unlock()
 	for _, m := range v.Members {
@@ -100,6 +102,12 @@
 			d.Slices[o.Member] = n
 		}
 	}
+	for service, members := range a.forwarder.Expected() {
+		d.Expected[service] = map[string]int64{}
+		for member, t := range members {
+			d.Expected[service][member] = t.Milliseconds()
+		}
+	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(d) // A failed write leaves the operator with a truncated response.
 }
