--- a/executor/executor.go
+++ b/executor/executor.go
@@ -86,6 +86,7 @@
 	// responseSizes holds the average response size of each rank, in bytes.
 	responseSizes map[string]float64
 	cold          coldCounter
+	slowness      reportedSlowness
 	// lastResponse is when the server last answered a request.
 	lastResponse time.Duration
 }
@@ -174,7 +175,7 @@
 	return Load{
 		Running: g.queue.Running(), Waiting: g.queue.Waiting(), Slots: g.server.Slots, ServiceTime: serviceTime,
 		Offered: g.arrivals.rate(timer.Now()) * serviceTime.Seconds() / float64(max(g.server.Slots, 1)),
-		ColdFor: cold, ColdRoom: room,
+		ColdFor: cold, ColdRoom: room, Slowness: g.slowness.at(timer.Now(), g.server.Instance),
 	}
 }
 
@@ -211,7 +212,7 @@
 	if r.Outcome != Answered {
 		_ = g.config.Logger.Log("event", "job", "id", j.ID, "rank", j.Rank, "key", j.Key, "keyed", j.Keyed, "instance", instance,
 			"outcome", r.Outcome, "reason", r.Reason, "reached", r.Reached, "running", r.Load.Running, "waiting", r.Load.Waiting,
-			"slots", r.Load.Slots, "service_ms", r.Load.ServiceTime.Milliseconds(),
+			"slots", r.Load.Slots, "service_ms", r.Load.ServiceTime.Milliseconds(), "slowness", r.Load.Slowness,
 			"ms", (timer.Now() - start).Milliseconds(),
 			"left_ms", (j.Deadline - timer.Now()).Milliseconds(), "retry_after_ms", r.RetryAfter.Milliseconds())
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -13,6 +14,7 @@
 
 	"hibiscusline/balancer"
 	"hibiscusline/carrier"
+	"hibiscusline/estimator"
 	"hibiscusline/executor"
 	"hibiscusline/matcher"
 	"hibiscusline/platform"
@@ -106,6 +108,7 @@
 	loads              map[string]reportedLoad
 	linkRefusals       linkRefusals
 	cold               coldServers
+	estimator          *estimator.Estimator
 }
 
 type reportedLoad struct {
@@ -155,7 +158,7 @@
 			transparentRetries: retrier.NewBudget(f.config.TransparentRetries),
 			retries:            retrier.NewBudget(f.config.Retries),
 			ages:               serverAges{}, loads: map[string]reportedLoad{},
-			linkRefusals: linkRefusals{}, cold: coldServers{},
+			linkRefusals: linkRefusals{}, cold: coldServers{}, estimator: estimator.NewEstimator(),
 		}
 		f.services[name] = s
 	}
@@ -183,6 +186,32 @@
 	return loads
 }
 
+// Expected returns, by service, how long work is expected to take now at each member whose server says how slow it is.
+func (f *Forwarder) Expected() map[string]map[string]time.Duration {
+	f.mu.Lock()
+	services := maps.Clone(f.services)
+	f.mu.Unlock()
+	all := map[string]map[string]time.Duration{}
+	for name, s := range services {
+		if expected := s.expected(timer.Now()); len(expected) > 0 {
+			all[name] = expected
+		}
+	}
+	return all
+}
+
+func (s *serviceState) expected(now time.Duration) map[string]time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	expected := map[string]time.Duration{}
+	for member := range s.loads {
+		if t := s.estimator.Expected(now, member); t > 0 {
+			expected[member] = t
+		}
+	}
+	return expected
+}
+
 // serviceTime returns the longest average service time that a member has reported recently, or zero.
 func (s *serviceState) serviceTime() time.Duration {
 	s.mu.Lock()
