applier: evacuations of availability zones are records

Repeating a record changes nothing. While a service has an active member elsewhere, members of evacuated zones get no range by placement, take-over or move. The state's field is left out while it is empty, so earlier checkpoints decode and encode as before. Changed tests: the property test draws both records and compares the zones and new owners with a model; the golden file of encoded forms gained two lines, and its state the two records; the state it had before is kept in state_without_evacuations.hex, which must decode and encode to the same bytes.

--- a/applier/apply.go
+++ b/applier/apply.go
@@ -96,6 +96,10 @@
 		return s.applySettle(r)
 	case Receive:
 		return s.applyReceive(r)
+	case Evacuate:
+		return s.applyEvacuate(offset, r)
+	case Restore:
+		return s.applyRestore(offset, r)
 	case Checkpoint:
 		s.applyCheckpoint(offset, r)
 		return nil
--- a/applier/names.go
+++ b/applier/names.go
@@ -66,11 +66,13 @@
 	_ = x[KindCheckpoint-14]
 	_ = x[KindMerge-15]
 	_ = x[KindReceive-16]
+	_ = x[KindEvacuate-17]
+	_ = x[KindRestore-18]
 }
 
-const _Kind_name = "joinset_guardiansdrainleavetake_overmovesplitevictproposeapproverejectsuspectsettlecheckpointmergereceive"
+const _Kind_name = "joinset_guardiansdrainleavetake_overmovesplitevictproposeapproverejectsuspectsettlecheckpointmergereceiveevacuaterestore"
 
-var _Kind_index = [...]uint8{0, 4, 17, 22, 27, 36, 40, 45, 50, 57, 64, 70, 77, 83, 93, 98, 105}
+var _Kind_index = [...]uint8{0, 4, 17, 22, 27, 36, 40, 45, 50, 57, 64, 70, 77, 83, 93, 98, 105, 113, 120}
 
 func (i Kind) String() string {
 	idx := int(i) - 1
--- a/applier/placement.go
+++ b/applier/placement.go
@@ -70,15 +70,26 @@
 }
 
 // eligible returns the members to which ranges of a service may be assigned. A placement rule that excludes every
-// member is ignored, since a key in the wrong zone is better than a key without owner.
+// member is ignored, since a key in the wrong zone is better than a key without owner. So are evacuations that leave no
+// member.
 func (s *State) eligible(service string) []*entry {
-	var active, placed []*entry
+	var active, placed, available []*entry
 	zones := s.Configuration.Placements[s.Configuration.Services[service].Placement].Zones
 	for _, e := range s.index.services[service] {
 		if e.member.Status != Active {
 			continue
 		}
 		active = append(active, e)
+	}
+	for _, e := range active {
+		if _, evacuated := s.Evacuated(e.member.Zone); !evacuated {
+			available = append(available, e)
+		}
+	}
+	if len(available) > 0 {
+		active = available
+	}
+	for _, e := range active {
 		if slices.Contains(zones, e.member.Zone) {
 			placed = append(placed, e)
 		}
--- a/applier/property_test.go
+++ b/applier/property_test.go
@@ -43,6 +43,7 @@
 	t         *rapid.T
 	state     State
 	envelopes []Envelope
+	evacuated map[string]bool
 }
 
 func (h *historyGenerator) member() MemberID {
@@ -97,7 +98,8 @@
 	version, guardians := h.guardians(id)
 	switch rapid.SampledFrom([]Kind{
 		KindJoin, KindJoin, KindSetGuardians, KindSetGuardians, KindDrain, KindLeave, KindTakeOver, KindTakeOver, KindMove, KindMove, KindSplit, KindMerge,
-		KindEvict, KindPropose, KindApprove, KindReject, KindSuspect, KindSettle, KindSettle, KindReceive, KindReceive,
+		KindEvict, KindPropose, KindApprove, KindReject, KindSuspect, KindSettle, KindSettle, KindReceive, KindReceive, KindEvacuate,
+		KindRestore,
 	}).Draw(h.t, "kind") {
 	case KindJoin:
 		zone := rapid.SampledFrom([]string{"z1", "z2"}).Draw(h.t, "zone")
@@ -127,10 +129,18 @@
 		r, owner := h.rangeOf(service)
 		a, _ := h.state.Lookup(service, r.Range.Low)
 		return Receive{Member: owner, Source: a.Source, Epoch: r.Epoch}
+	case KindEvacuate:
+		return Evacuate{Zone: h.zone(), Operator: h.operator()}
+	case KindRestore:
+		return Restore{Zone: h.zone(), Operator: h.operator()}
 	}
 	return h.otherRecord(id)
 }
 
+func (h *historyGenerator) zone() string {
+	return rapid.SampledFrom([]string{"z1", "z2", ""}).Draw(h.t, "evacuated zone")
+}
+
 func (h *historyGenerator) otherRecord(id MemberID) Record {
 	proposal := Offset(rapid.IntRange(0, len(h.envelopes)).Draw(h.t, "proposal"))
 	for _, p := range h.state.Proposals {
@@ -246,6 +256,35 @@
 	require.Len(t, s.index.entries, len(s.Members))
 }
 
+// requireEvacuations fails when the evacuated zones are not those that the accepted records name, or when a member in
+// one got a range although the service has an active member elsewhere.
+func (h *historyGenerator) requireEvacuations(
+	t require.TestingT, before assignmentSnapshot, e Envelope, result Result, duplicate bool,
+) {
+	switch r := e.Record.(type) {
+	case Evacuate:
+		if result.Accepted && !duplicate {
+			h.evacuated[r.Zone] = true
+		}
+	case Restore:
+		if result.Accepted && !duplicate {
+			delete(h.evacuated, r.Zone)
+		}
+	}
+	require.Equal(t, slices.Sorted(maps.Keys(h.evacuated)), h.state.EvacuatedZones())
+	for service, ranges := range h.state.Assignments {
+		elsewhere := slices.ContainsFunc(h.state.MembersOf(service), func(m *Member) bool {
+			return m.Status == Active && !h.evacuated[m.Zone]
+		})
+		for _, a := range ranges {
+			i, found := findRange(before[service], a.Range.Low)
+			if a.Owner != 0 && elsewhere && (!found || before[service][i].Owner != a.Owner) {
+				require.False(t, h.evacuated[h.state.Members[a.Owner].Zone], "a range of %s went to an evacuated zone", service)
+			}
+		}
+	}
+}
+
 func encoded(t require.TestingT, s *State) []byte {
 	data, err := s.Encode()
 	require.NoError(t, err)
@@ -306,6 +345,7 @@
 	result := h.state.Apply(offset, e)
 	require.True(t, current || duplicate || !result.Accepted, "a record based on another state is accepted: %v", e.Record)
 	h.envelopes = append(h.envelopes, e)
+	h.requireEvacuations(t, before, e, result, duplicate)
 	requirePartition(t, &h.state)
 	requireEpochs(t, before, &h.state)
 	requireIndex(t, &h.state)
@@ -340,11 +380,11 @@
 }
 
 // TestApplyInvariants applies random records. It guards against two owners of a key, a key without a range, a change of
-// owner that doesn't raise the epoch, a configuration that reverts, and a process that starts from a checkpoint and
-// reaches another state than one that applied all records.
+// owner that doesn't raise the epoch, a configuration that reverts, an evacuated zone whose members get ranges, and a
+// process that starts from a checkpoint and reaches another state than one that applied all records.
 func TestApplyInvariants(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		h := &historyGenerator{t: t}
+		h := &historyGenerator{t: t, evacuated: map[string]bool{}}
 		first := Propose{Author: "ann", Configuration: testConfiguration(true, false, "bolt")}
 		h.envelopes = []Envelope{{ID: "first", Record: first}}
 		h.state.Apply(1, h.envelopes[0])
--- a/applier/ranges.go
+++ b/applier/ranges.go
@@ -16,6 +16,9 @@
 	if target.Status != Active || target.Service != r.Service {
 		return errors.Errorf("member %s can't own ranges of service %q now", r.To, r.Service)
 	}
+	if !s.mayOwn(target) {
+		return errors.Errorf("member %s can't get ranges: its zone %q is evacuated", r.To, target.Zone)
+	}
 	// A move to the owner itself would drop the lineage without a transfer of the idempotency rows.
 	if r.From == r.To {
 		return errors.Errorf("member %s can't move ranges to itself", r.To)
--- a/applier/record.go
+++ b/applier/record.go
@@ -29,6 +29,8 @@
 	KindCheckpoint                   // checkpoint
 	KindMerge                        // merge
 	KindReceive                      // receive
+	KindEvacuate                     // evacuate
+	KindRestore                      // restore
 )
 
 // MarshalText writes the kind's name.
@@ -152,6 +154,18 @@
 	Epoch  Offset   `cbor:"3,keyasint"`
 }
 
+// Evacuate evacuates an availability zone: its backend servers get no requests, and its members no ranges.
+type Evacuate struct {
+	Zone     string `cbor:"1,keyasint"`
+	Operator string `cbor:"2,keyasint"`
+}
+
+// Restore ends the evacuation of an availability zone.
+type Restore struct {
+	Zone     string `cbor:"1,keyasint"`
+	Operator string `cbor:"2,keyasint"`
+}
+
 // Checkpoint is one piece of an encoded state. AsOf is the last offset applied in that state.
 type Checkpoint struct {
 	ID    string `cbor:"1,keyasint"`
@@ -177,6 +191,8 @@
 func (Checkpoint) kind() Kind   { return KindCheckpoint }
 func (Merge) kind() Kind        { return KindMerge }
 func (Receive) kind() Kind      { return KindReceive }
+func (Evacuate) kind() Kind     { return KindEvacuate }
+func (Restore) kind() Kind      { return KindRestore }
 
 // KindOf returns the kind of a record.
 func KindOf(r Record) Kind { return r.kind() }
@@ -275,6 +291,10 @@
 		return decodeAs[Merge](body)
 	case KindReceive:
 		return decodeAs[Receive](body)
+	case KindEvacuate:
+		return decodeAs[Evacuate](body)
+	case KindRestore:
+		return decodeAs[Restore](body)
 	}
 	return nil, errors.Errorf("unknown record kind %d", uint8(kind))
 }
--- a/applier/state_test.go
+++ b/applier/state_test.go
@@ -4,6 +4,7 @@
 	"encoding/hex"
 	"fmt"
 	"net/netip"
+	"os"
 	"strings"
 	"testing"
 
@@ -38,6 +39,8 @@
 		Settle{Member: 1, AsOf: 8},
 		Receive{Member: 1, Source: 2, Epoch: 9},
 		Checkpoint{ID: "c", AsOf: 1, Index: 0, Total: 1, Piece: []byte{1}},
+		Evacuate{Zone: "z2", Operator: "ann"},
+		Restore{Zone: "z1", Operator: "ben"},
 	}
 }
 
@@ -70,6 +73,84 @@
 	goldie.New(t).Assert(t, "encoded_forms", []byte(lines.String()))
 }
 
+// TestEarlierCheckpoint guards against a checkpoint of an earlier release, which knows no evacuations, that decodes to
+// another state.
+func TestEarlierCheckpoint(t *testing.T) {
+	text, err := os.ReadFile("testdata/state_without_evacuations.hex")
+	require.NoError(t, err)
+	data, err := hex.DecodeString(strings.TrimSpace(string(text)))
+	require.NoError(t, err)
+	s, err := DecodeState(data)
+	require.NoError(t, err)
+	require.Empty(t, s.Evacuations)
+	require.Equal(t, data, encoded(t, s))
+}
+
+// TestEvacuations guards against an evacuation by somebody who is no operator, one that a repetition attributes to
+// another operator, and a state that grows with the number of evacuations.
+func TestEvacuations(t *testing.T) {
+	s := &State{}
+	apply := func(r Record) Result {
+		return s.Apply(s.Applied+1, Envelope{ID: fmt.Sprint(s.Applied), Record: r})
+	}
+	apply(Propose{Author: "ann", Configuration: testConfiguration(true, true, "bolt")})
+	require.Contains(t, apply(Evacuate{Zone: "z1", Operator: "eve"}).Reason, "not an operator")
+	require.Contains(t, apply(Evacuate{Operator: "ann"}).Reason, "name of a zone")
+	require.Contains(t, apply(Evacuate{Zone: strings.Repeat("z", 1000), Operator: "ann"}).Reason, "name of a zone")
+	require.True(t, apply(Evacuate{Zone: "z1", Operator: "ann"}).Accepted)
+	require.True(t, apply(Evacuate{Zone: "z1", Operator: "ben"}).Accepted)
+	require.Contains(t, apply(Restore{Zone: "z1", Operator: "eve"}).Reason, "not an operator")
+	require.Equal(t, []Evacuation{{Zone: "z1", Operator: "ann", Offset: 5}}, s.Evacuations)
+	for range 2 {
+		require.True(t, apply(Restore{Zone: "z1", Operator: "ben"}).Accepted)
+	}
+	require.Equal(t, []Evacuation{{Zone: "z1", Operator: "ann", Offset: 5, Restored: 8, RestoredBy: "ben"}}, s.Evacuations)
+	for i := range maxEvacuated + 1 {
+		require.Equal(t, i < maxEvacuated, apply(Evacuate{Zone: fmt.Sprint("stays ", i), Operator: "ann"}).Accepted)
+	}
+	require.True(t, apply(Restore{Zone: "stays 0", Operator: "ann"}).Accepted)
+	for range 2 * maxEvacuations {
+		require.True(t, apply(Evacuate{Zone: "z1", Operator: "ann"}).Accepted)
+		require.True(t, apply(Restore{Zone: "z1", Operator: "ann"}).Accepted)
+	}
+	require.Len(t, s.Evacuations, maxEvacuations)
+	require.Len(t, s.EvacuatedZones(), maxEvacuated-1)
+	require.Equal(t, encoded(t, s), encoded(t, restore(t, s)))
+}
+
+// TestEvacuatedZoneGetsNoRanges guards against a member of an evacuated zone that gets ranges by a move, as a new member or
+// as the successor of a lost one, and against a key without owner while all zones are evacuated.
+func TestEvacuatedZoneGetsNoRanges(t *testing.T) {
+	s := &State{}
+	apply := func(r Record) Result {
+		return s.Apply(s.Applied+1, Envelope{ID: fmt.Sprint(s.Applied), Record: r})
+	}
+	join := func(id MemberID, zone string) { apply(Join{Member: Member{ID: id, Service: "stock", Zone: zone}}) }
+	move := func(from, to MemberID) Result {
+		a := s.Owned(from)[0]
+		return apply(Move{Service: "stock", From: from, To: to, Ranges: []RangeEpoch{{Range: a.Range, Epoch: a.Epoch}}})
+	}
+	apply(Propose{Author: "ann", Configuration: testConfiguration(true, false, "bolt")})
+	apply(Evacuate{Zone: "z1", Operator: "ann"})
+	join(1, "z1")
+	all := len(s.Assignments["stock"])
+	require.Len(t, s.Owned(1), all, "there is no other member")
+	join(2, "z2")
+	join(3, "z1")
+	require.True(t, move(1, 2).Accepted)
+	require.Contains(t, move(1, 3).Reason, "is evacuated")
+	apply(Receive{Member: 2, Source: 1, Epoch: s.Owned(2)[0].Epoch})
+	apply(Evict{Member: 1, Operator: "ann"})
+	require.Len(t, s.Owned(2), all)
+	apply(Evacuate{Zone: "z2", Operator: "ann"})
+	apply(Evict{Member: 2, Operator: "ann"})
+	require.Len(t, s.Owned(3), all)
+	join(4, "z2")
+	require.True(t, move(3, 4).Accepted, "all zones are evacuated")
+	apply(Restore{Zone: "z1", Operator: "ann"})
+	require.Contains(t, move(3, 4).Reason, "is evacuated")
+}
+
 // TestCheckpointAssembler guards against a checkpoint of several pieces that can't be restored, and against a reader
 // that accumulates incomplete checkpoints.
 func TestCheckpointAssembler(t *testing.T) {
