router, dispatcher, balancer, daemon: the product's own form keeps evacuations

Change: entries choose no member of an evacuated zone for requests without a key, and refuse at once (503, Retry-After, reason evacuated) what has only members in evacuated zones. The process beside a server refuses requests without a key when it has applied the record and those with one 4 s later, also those that waited for a slot; entries try elsewhere. Owners move their ranges out at their next plan, to all targets at a time, whatever the limit of moves. Members that come back to a service count as new for the entries' ramp, and for the planners. Gauge hibiscus_zones_evacuated, log lines "zone evacuated" and "zone restored".

--- a/balancer/evacuate.go
+++ b/balancer/evacuate.go
@@ -9,7 +9,7 @@
 
 // Evacuate returns the moves that distribute all ranges of a member over the other eligible owners, one move for each
 // target, those with the most ranges first. It serves a member that stops, resigns or lies outside the zones of the
-// placement rule. Members in avoid get ranges only if there are no others. Without another eligible owner it returns
+// placement rule or in an evacuated zone. Members in avoid get ranges only if there are no others. Without another eligible owner it returns
 // no moves.
 func Evacuate(s *applier.State, self applier.MemberID, avoid ...applier.MemberID) []MoveRanges {
 	member, present := s.Members[self]
--- a/balancer/planner.go
+++ b/balancer/planner.go
@@ -142,14 +142,15 @@
 	}
 }
 
-// Plan returns the changes that the owner should make now. An owner outside the zones of the placement rule moves all
-// its ranges away. Otherwise, moves that give a new member its fair share take precedence over changes for load.
+// Plan returns the changes that the owner should make now. An owner outside the zones of the placement rule, or in an
+// evacuated one, moves all its ranges away. Otherwise, moves that give a new member its fair share take precedence over
+// changes for load.
 //
 // Each move for load counts against the moves per minute of the placement rule, however many ranges it contains.
 // Splits and merges change no owner and have a separate limit of the same size. Moves to new members and out of a zone
 // don't count: their number is bounded by the change of members or of the rule, and with a limit of one a new cluster
 // of five members took minutes to spread its ranges. A limit of zero disables all changes, so that operators can place
-// new members by hand.
+// new members by hand; an evacuated zone is left nevertheless.
 func (p *Planner) Plan(now time.Duration, s *applier.State, self applier.MemberID, loads Loads) []Proposal {
 	member, present := s.Members[self]
 	if !present || s.Configuration == nil || len(s.Assignments[member.Service]) == 0 {
@@ -161,6 +162,9 @@
 		return nil
 	}
 	limit := p.movesPerMinute(s, member.Service)
+	if _, evacuated := s.Evacuated(member.Zone); evacuated && !slices.Contains(v.members, v.self) {
+		return p.place(s, v, loads)
+	}
 	if limit <= 0 {
 		return nil
 	}
@@ -234,6 +238,9 @@
 	}
 	zones := s.Configuration.Placements[service.Placement].Zones
 	members := slices.DeleteFunc(s.MembersOf(self.Service), func(m *applier.Member) bool { return m.Status != applier.Active })
+	if available := s.Available(members); len(available) > 0 {
+		members = available
+	}
 	for _, m := range members {
 		if slices.Contains(zones, m.Zone) {
 			v.members = append(v.members, m)
--- a/balancer/planner_test.go
+++ b/balancer/planner_test.go
@@ -206,6 +206,44 @@
 	})
 }
 
+// TestEvacuatedZone guards against ranges that stay in an evacuated zone, also where the rule allows no moves for load,
+// against ones that move into it, and against a zone that gets none back after its restoration.
+func TestEvacuatedZone(t *testing.T) {
+	for _, movesPerMinute := range []int{0, 6} {
+		c := newCluster(4, 40, movesPerMinute, 1)
+		c.spread(400, 800)
+		for range 2 {
+			id := c.join()
+			c.state.Members[id].Zone = "b"
+		}
+		c.run(5)
+		ownedBy := func(zone string) (count int) {
+			for _, m := range c.state.MembersOf("stock") {
+				if m.Zone == zone {
+					count += len(c.state.Owned(m.ID))
+				}
+			}
+			return count
+		}
+		for _, zone := range []string{"a", "b"} {
+			c.apply(applier.Evacuate{Zone: zone, Operator: "op"})
+			c.run(3)
+			require.Zero(t, ownedBy(zone), "moves per minute: %d", movesPerMinute)
+			c.run(60)
+			require.Zero(t, ownedBy(zone))
+			c.apply(applier.Restore{Zone: zone, Operator: "op"})
+			c.run(5)
+			require.Equal(t, movesPerMinute > 0, ownedBy(zone) > 0)
+		}
+		c.run(60)
+		before := ownedBy("a")
+		c.apply(applier.Evacuate{Zone: "a", Operator: "op"})
+		c.apply(applier.Evacuate{Zone: "b", Operator: "op"})
+		c.run(5)
+		require.Equal(t, before, ownedBy("a"), "there is no other zone")
+	}
+}
+
 // TestConvergence guards against load that stays uneven, and against ranges that keep moving under constant load.
 func TestConvergence(t *testing.T) {
 	for _, shape := range []struct {
--- a/daemon/admin.go
+++ b/daemon/admin.go
@@ -88,7 +88,9 @@
 		}
 		s.Owned = d.ownedRanges(n)
 	}
-	d.state.View(func(state *applier.State) { s.Version, s.Applied = state.Version, state.Applied })
+	d.state.View(func(state *applier.State) {
+		s.Version, s.Applied, s.EvacuatedZones = state.Version, state.Applied, state.EvacuatedZones()
+	})
 	return s
 }
 
@@ -173,6 +175,10 @@
 
 func (d *Daemon) registerGauges() {
 	d.metrics.NewGauge("hibiscus_applied_offset", func() float64 { return float64(d.state.Applied()) })
+	d.metrics.NewGauge("hibiscus_zones_evacuated", func() (count float64) {
+		d.state.View(func(s *applier.State) { count = float64(len(s.EvacuatedZones())) })
+		return count
+	})
 	d.metrics.NewGauge("hibiscus_records_skipped", func() float64 { return float64(d.state.Skipped()) })
 	d.metrics.NewGauge("hibiscus_connections", func() float64 { return float64(d.transport.Connections()) })
 	d.metrics.NewGauge(`hibiscus_wire_bytes{path="peers",direction="out"}`, func() float64 { return float64(d.transport.Traffic().BytesSent) })
--- a/daemon/balance.go
+++ b/daemon/balance.go
@@ -74,7 +74,11 @@
 	}
 	loads.Members = members
 	var proposals []balancer.Proposal
-	d.state.View(func(s *applier.State) { proposals = r.planner.Plan(now, s, n.id, loads) })
+	evacuated := false
+	d.state.View(func(s *applier.State) {
+		proposals = r.planner.Plan(now, s, n.id, loads)
+		_, evacuated = s.Evacuated(d.config.Settings.Zone)
+	})
 	if len(proposals) == 0 {
 		return
 	}
@@ -82,7 +86,11 @@
 	d.tasks.Go(func() {
 		ctx, cancel := d.background()
 		defer cancel()
-		d.executeProposals(ctx, n, proposals)
+		if evacuated {
+			d.evacuate(ctx, n, proposals)
+		} else {
+			d.executeProposals(ctx, n, proposals)
+		}
 		r.mu.Lock()
 		r.busy = false
 		r.mu.Unlock()
@@ -113,6 +121,24 @@
 	}
 }
 
+// evacuate moves the ranges of this member out of its evacuated zone, to all targets at the same time, so that it ends
+// before the grace of the evacuation. The next run of the balancer repeats what has failed.
+func (d *Daemon) evacuate(ctx context.Context, n *incarnation, proposals []balancer.Proposal) {
+	d.ownershipMu.Lock()
+	defer d.ownershipMu.Unlock()
+	if n.leaving.Load() {
+		return
+	}
+	var moves []balancer.MoveRanges
+	for _, proposal := range proposals {
+		if m, isMove := proposal.(balancer.MoveRanges); isMove {
+			moves = append(moves, m)
+		}
+	}
+	failed := d.moveAll(ctx, n, moves)
+	d.metrics.GetOrCreateCounter("hibiscus_balance_errors_total").Add(len(failed))
+}
+
 // merge merges two adjacent ranges of this member. No request of either range runs during the merge: a backend server
 // may reject a request that started with the lower of the two epochs.
 func (d *Daemon) merge(ctx context.Context, n *incarnation, m applier.Merge) error {
--- a/daemon/choose.go
+++ b/daemon/choose.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net/http"
@@ -183,6 +184,19 @@
 			s.firstSeen[m.ID] = at
 		}
 	}
+	if len(s.firstSeen) > len(members) {
+		s.forgetAbsent(members)
+	}
+}
+
+// forgetAbsent deletes the members that are not candidates now. They count as new when they return, such as those of an
+// evacuated zone after its restoration.
+func (s *serviceChooser) forgetAbsent(members []applier.Member) {
+	present := make(map[applier.MemberID]bool, len(members))
+	for _, m := range members {
+		present[m.ID] = true
+	}
+	maps.DeleteFunc(s.firstSeen, func(id applier.MemberID, _ time.Duration) bool { return !present[id] })
 }
 
 // Started implements router.Chooser.
--- a/daemon/choose_test.go
+++ b/daemon/choose_test.go
@@ -45,6 +45,28 @@
 	require.Less(t, picked[9], 50, "a member that joins later starts gradually")
 }
 
+// TestRestoredMembersStartGradually guards against servers of an evacuated zone that get their whole share at once after
+// the restoration, when they may be cold.
+func TestRestoredMembersStartGradually(t *testing.T) {
+	c := newChooser("a", balancer.TwoChoices, noReports)
+	all := membersOf("archive", 1, 4)
+	pick := func(members []applier.Member) (last int) {
+		for range 100 {
+			id, found := c.Pick("archive", members, nil)
+			require.True(t, found)
+			c.Started("archive", id)
+			c.Finished("archive", id, encoder.Response{Outcome: encoder.Answered, Status: http.StatusOK}, time.Millisecond)
+			if id == 4 {
+				last++
+			}
+		}
+		return last
+	}
+	require.Greater(t, pick(all), 15)
+	require.Zero(t, pick(all[:3]))
+	require.Less(t, pick(all), 15)
+}
+
 // TestServicesAreIndependent guards against the ejection of members of one service because another service responds
 // faster.
 func TestServicesAreIndependent(t *testing.T) {
--- a/daemon/member.go
+++ b/daemon/member.go
@@ -94,7 +94,7 @@
 	})
 	n.dispatcher = dispatcher.New(dispatcher.Config{
 		State: d.state, Lease: n, Self: func() applier.MemberID { return n.id },
-		Replicator: &replicator{daemon: d, incarnation: n}, Service: a.Service,
+		Replicator: &replicator{daemon: d, incarnation: n}, Zone: d.config.Settings.Zone, Service: a.Service,
 		Admission: admitter.Config{
 			Slots: a.Slots, Ranks: ranks, QueueLimit: d.config.Settings.Limits.QueueLimit, NestedShare: nestedShare,
 			Policy: admissionPolicy(d.config.Settings.Baseline.Admission),
--- a/daemon/move.go
+++ b/daemon/move.go
@@ -183,20 +183,7 @@
 			}
 			return nil
 		}
-		errs := make([]error, len(groups))
-		var moves sync.WaitGroup
-		for i, g := range groups {
-			moves.Go(func() { errs[i] = d.move(ctx, n, g.Move.To, g.Move.Ranges) })
-		}
-		moves.Wait()
-		avoid = nil
-		for i, err := range errs {
-			if err != nil {
-				avoid = append(avoid, groups[i].Move.To)
-				d.log("state", "move failed", "member", n.id, "to", groups[i].Move.To, "err", err)
-			}
-		}
-		if len(avoid) == 0 {
+		if avoid = d.moveAll(ctx, n, groups); len(avoid) == 0 {
 			continue
 		}
 		select {
@@ -207,6 +194,23 @@
 	}
 }
 
+// moveAll executes moves at the same time and returns the targets of those that failed.
+func (d *Daemon) moveAll(ctx context.Context, n *incarnation, groups []balancer.MoveRanges) (failed []applier.MemberID) {
+	errs := make([]error, len(groups))
+	var moves sync.WaitGroup
+	for i, g := range groups {
+		moves.Go(func() { errs[i] = d.move(ctx, n, g.Move.To, g.Move.Ranges) })
+	}
+	moves.Wait()
+	for i, err := range errs {
+		if err != nil {
+			failed = append(failed, groups[i].Move.To)
+			d.log("state", "move failed", "member", n.id, "to", groups[i].Move.To, "err", err)
+		}
+	}
+	return failed
+}
+
 func (d *Daemon) ownedRanges(n *incarnation) []applier.RangeEpoch {
 	var owned []applier.RangeEpoch
 	d.state.View(func(s *applier.State) {
--- a/daemon/state.go
+++ b/daemon/state.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"hibiscusline/admitter"
@@ -14,9 +15,10 @@
 // watchState passes changes of the state to the components that depend on it.
 func (d *Daemon) watchState(ctx context.Context) {
 	const idle = time.Second
-	var version applier.Offset
+	var version, evacuated applier.Offset
 	for {
 		changed := d.state.Changed()
+		evacuated = d.logEvacuations(evacuated)
 		d.redialReplaced()
 		if n := d.incarnation(); n != nil {
 			version = d.applyState(n, version)
@@ -30,6 +32,24 @@
 	}
 }
 
+// logEvacuations writes a log line for each evacuation that began or ended after an offset, and returns the offset of the
+// last change.
+func (d *Daemon) logEvacuations(after applier.Offset) applier.Offset {
+	var evacuations []applier.Evacuation
+	d.state.View(func(s *applier.State) { evacuations = slices.Clone(s.Evacuations) })
+	last := after
+	for _, e := range evacuations {
+		if e.Offset > after {
+			d.log("state", "zone evacuated", "zone", e.Zone, "operator", e.Operator, "offset", e.Offset)
+		}
+		if e.Restored > after {
+			d.log("state", "zone restored", "zone", e.Zone, "operator", e.RestoredBy, "offset", e.Restored)
+		}
+		last = max(last, e.Offset, e.Restored)
+	}
+	return last
+}
+
 // redialReplaced makes the next message to a new member at a known address open a new connection. The connection to
 // the previous process there has ended, and messages sent on it are lost until a stateless reset arrives, which can take
 // 11 s.
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -37,6 +37,8 @@
 	Lease      Lease
 	Self       func() applier.MemberID
 	Replicator Replicator
+	// Zone is the availability zone of the backend server.
+	Zone string
 	// Service is the service of the backend server.
 	Service   string
 	Admission admitter.Config
@@ -61,6 +63,8 @@
 	rows      rowTable
 	suspects  *suspects
 	observer  func(p hasher.Position)
+	// evacuation is the grace of an evacuation of the zone.
+	evacuation evacuation
 
 	// abandoned is cancelled when the backend server is abandoned, which cancels the calls to it.
 	abandoned    context.Context
@@ -149,8 +153,8 @@
 	return len(d.ownership.inFlight)
 }
 
-// Refresh applies the state to the dispatcher: it starts the waiting times after take-overs, so that they count from
-// the moment when the record was applied, and merges the suspects. It must be called after every change of the state.
+// Refresh applies the state to the dispatcher: it starts the waiting times after take-overs and the grace of an
+// evacuation, so that they count from the moment when the record was applied, and merges the suspects. It must be called after every change of the state.
 func (d *Dispatcher) Refresh() {
 	waits := map[applier.Offset]time.Duration{}
 	d.config.State.View(func(s *applier.State) {
@@ -161,6 +165,7 @@
 		}
 	})
 	d.config.State.View(func(s *applier.State) { d.suspects.Merge(timer.Now(), s.Suspects) })
+	d.evacuated(true)
 	d.ownership.pruneTakeOverWaits(waits)
 	for epoch, wait := range waits {
 		d.ownership.inTakeOverWait(epoch, wait)
@@ -219,6 +224,9 @@
 	if reason := d.verify(j); reason != encoder.NoReason {
 		return d.refuse(j, reason)
 	}
+	if d.evacuated(j.head.Keyed) {
+		return d.refuse(j, encoder.Evacuated)
+	}
 	if d.backend.lost.Load() || d.abandoned.Err() != nil {
 		return d.refuse(j, encoder.BackendLost)
 	}
@@ -280,13 +288,11 @@
 	ctx, cancel := context.WithTimeout(ctx, d.maxRequest(j.head.Service))
 	defer cancel()
 	defer context.AfterFunc(d.abandoned, cancel)()
-	// The lease may have lapsed or the range may have moved while the request waited.
-	if j.head.Keyed {
-		if reason := d.recheck(j); reason != encoder.NoReason {
-			release(false)
-			settle(runResult{})
-			return d.refuse(j, reason)
-		}
+	// The lease may have lapsed, the range may have moved or the zone been evacuated while the request waited.
+	if reason := d.recheck(j); reason != encoder.NoReason {
+		release(false)
+		settle(runResult{})
+		return d.refuse(j, reason)
 	}
 	return d.run(ctx, j, sink, settle, fingerprint, release)
 }
--- a/dispatcher/ownership.go
+++ b/dispatcher/ownership.go
@@ -107,6 +107,12 @@
 // recheck repeats the check for a request that has waited in the queue. The request may still run if its range has
 // moved away in the meantime, because the range is released only after the request has ended.
 func (d *Dispatcher) recheck(j *job) encoder.Reason {
+	if d.evacuated(j.head.Keyed) {
+		return encoder.Evacuated
+	}
+	if !j.head.Keyed {
+		return encoder.NoReason
+	}
 	a, reason := d.check(j.head.Service, j.head.Position)
 	if reason == encoder.NotOwner && a.Source == d.config.Self() && timer.Now() < d.config.Lease.ValidUntil() {
 		return encoder.NoReason
--- a/encoder/message.go
+++ b/encoder/message.go
@@ -54,6 +54,8 @@
 	FencedOff              // fenced_off
 	RetriesExhausted       // retries_exhausted
 	HeaderTooLarge         // header_too_large
+	// Evacuated means that the availability zone of the backend server is evacuated, or those of all of the service.
+	Evacuated // evacuated
 )
 
 // Transient reports whether a retry at the same or another process may soon succeed after a request was not run for
@@ -61,7 +63,7 @@
 func (r Reason) Transient() bool {
 	switch r {
 	case NotOwner, NoLease, Moving, NoOwner, NotReady, PeerUnreachable, FencedOff, BackendLost, GuardiansUnreachable,
-		IdempotencyRowsPending:
+		IdempotencyRowsPending, Evacuated:
 		return true
 	}
 	return false
--- a/encoder/names.go
+++ b/encoder/names.go
@@ -53,11 +53,12 @@
 	_ = x[FencedOff-22]
 	_ = x[RetriesExhausted-23]
 	_ = x[HeaderTooLarge-24]
+	_ = x[Evacuated-25]
 }
 
-const _Reason_name = "nonebad_requestunknown_servicemissing_keynot_readynot_ownerno_leasemovingno_owneroverloadeddeadline_exceededcancelledpoisonbackend_failedbackend_lostserver_crashedpeer_unreachableidempotency_key_reusedoutcome_unknownidempotency_rows_missingguardians_unreachableidempotency_rows_pendingfenced_offretries_exhaustedheader_too_large"
+const _Reason_name = "nonebad_requestunknown_servicemissing_keynot_readynot_ownerno_leasemovingno_owneroverloadeddeadline_exceededcancelledpoisonbackend_failedbackend_lostserver_crashedpeer_unreachableidempotency_key_reusedoutcome_unknownidempotency_rows_missingguardians_unreachableidempotency_rows_pendingfenced_offretries_exhaustedheader_too_largeevacuated"
 
-var _Reason_index = [...]uint16{0, 4, 15, 30, 41, 50, 59, 67, 73, 81, 91, 108, 117, 123, 137, 149, 163, 179, 201, 216, 240, 261, 285, 295, 312, 328}
+var _Reason_index = [...]uint16{0, 4, 15, 30, 41, 50, 59, 67, 73, 81, 91, 108, 117, 123, 137, 149, 163, 179, 201, 216, 240, 261, 285, 295, 312, 328, 337}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/reporter/bodies.go
+++ b/reporter/bodies.go
@@ -20,6 +20,8 @@
 	Owned []applier.RangeEpoch `json:"owned"`
 	// Draining means that the process accepts no new work.
 	Draining bool `json:"draining"`
+	// EvacuatedZones lists the evacuated availability zones in the state at Applied.
+	EvacuatedZones []string `json:"evacuated_zones,omitempty"`
 }
 
 // Lease is the state of a process's lease.
--- a/router/forward.go
+++ b/router/forward.go
@@ -20,6 +20,9 @@
 // ResponseBody is the body of a response.
 type ResponseBody = io.ReadCloser
 
+// evacuatedRetryAfter is the delay after which a caller may try a service again whose zones are all evacuated.
+const evacuatedRetryAfter = time.Second
+
 // notRunResponse is the response to a call that was never sent.
 func notRunResponse(reason encoder.Reason) encoder.Response {
 	return encoder.Response{Outcome: encoder.NotRun, Reason: reason}
@@ -38,6 +41,9 @@
 		response := notRunResponse(reason)
 		var body ResponseBody
 		sent := reason == encoder.NoReason
+		if reason == encoder.Evacuated {
+			response.RetryAfter = evacuatedRetryAfter
+		}
 		if sent {
 			response, body = rt.attempt(ctx, c, m)
 		}
@@ -97,6 +103,10 @@
 			// Another member may have capacity. The budget prevents retries from multiplying an overload.
 			return rt.spendRetry(retryCause(r))
 		}
+		if r.Reason == encoder.Evacuated && !sent {
+			// No zone of the service is left.
+			return false
+		}
 		return r.Reason.Transient()
 	case encoder.Unknown, encoder.Answered:
 		c.head.Crashes = append(c.head.Crashes, r.Crashes...)
--- a/router/router.go
+++ b/router/router.go
@@ -175,7 +175,10 @@
 	if c.head.Keyed {
 		return rt.owner(c.head.Service, c.head.Position)
 	}
-	members := rt.members.active(rt.config.Follower, c.head.Service)
+	members, reason := rt.members.active(rt.config.Follower, c.head.Service)
+	if reason != encoder.NoReason {
+		return applier.Member{}, reason
+	}
 	id, found := rt.config.Chooser.Pick(c.head.Service, members, tried)
 	if !found {
 		return applier.Member{}, encoder.NoOwner
@@ -190,6 +193,7 @@
 
 func (rt *Router) owner(service string, p hasher.Position) (m applier.Member, reason encoder.Reason) {
 	reason = encoder.NoOwner
+	evacuated := false
 	rt.config.Follower.View(func(s *applier.State) {
 		a, found := s.Lookup(service, p)
 		if !found {
@@ -197,7 +201,11 @@
 		}
 		if owner, present := s.Members[a.Owner]; present {
 			m, reason = *owner, encoder.NoReason
+			_, evacuated = s.Evacuated(owner.Zone)
 		}
 	})
+	if evacuated && rt.members.emptied(rt.config.Follower, service) {
+		return applier.Member{}, encoder.Evacuated
+	}
 	return m, reason
 }
