operator: evacuate and restore availability zones

Measured: TestEvacuation and TestBadInput (four more lines) pass; they couldn't run before the commands existed.

--- a/operator/command.go
+++ b/operator/command.go
@@ -78,6 +78,7 @@
 	root.AddCommand(
 		s.validateCommand(), s.diffCommand(), s.proposeCommand(), s.approveCommand(), s.rejectCommand(), s.historyCommand(),
 		s.statusCommand(), s.dumpCommand(), s.drainCommand(), s.moveCommand(), s.evictCommand(),
+		s.evacuateCommand(), s.restoreCommand(),
 	)
 	return root
 }
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -137,6 +137,10 @@
 		{"evict", "x", "--as", "liis", "--log", f.address},
 		{"move", "--service", "s", "--log", f.address},
 		{"drain", "nobody", "--log", f.address},
+		{"evacuate", "z1", "--log", f.address},
+		{"evacuate", "--as", "liis", "--log", f.address},
+		{"evacuate", "z1", "--as", "liis", "--log", f.address},
+		{"restore", "", "--as", "liis", "--log", f.address},
 	} {
 		require.Equal(t, operator.BadInput, f.run(args...), args)
 	}
@@ -210,3 +214,27 @@
 	require.Equal(t, operator.Done, f.runWithLog("evict", "0000000000000004", "--as", "liis", "--confirm-stopped"))
 	f.requireGolden("members")
 }
+
+// TestEvacuation guards the commands on availability zones: who may use them, what status and history show, that a
+// repetition changes nothing, and that a mistyped zone isn't taken.
+func TestEvacuation(t *testing.T) {
+	f := newFixture(t)
+	require.Equal(t, operator.Done, f.runWithLog("propose", vatilaane, "--as", "liis"))
+	f.transcript.Reset()
+	a := f.serve(newAdminFake(`{"member":"0000000000000001","name":"a","zone":"z1","service":"stock-lookup","version":1,"applied":2,
+		"lease":{"held":true,"remaining_ms":640},"evacuated_zones":["z1"]}`), "A")
+	f.append("join", applier.Join{Member: applier.Member{ID: 1, Name: "a", Zone: "z1", Service: "stock-lookup", Admin: a, Slots: 12}})
+	require.Equal(t, operator.Done, f.runWithLog("history", "--evacuations"))
+	require.Equal(t, operator.BadInput, f.runWithLog("evacuate", "z9", "--as", "liis"))
+	require.Equal(t, operator.Rejected, f.runWithLog("evacuate", "z1", "--as", "mallory"))
+	require.Equal(t, operator.Done, f.runWithLog("restore", "z1", "--as", "liis"))
+	require.Equal(t, operator.Done, f.runWithLog("evacuate", "z1", "--as", "liis", "--id", "one"))
+	require.Equal(t, operator.Done, f.runWithLog("evacuate", "z1", "--as", "liis", "--id", "one"))
+	require.Equal(t, operator.Done, f.runWithLog("evacuate", "z1", "--as", "tormi", "--output", "json"))
+	require.Equal(t, operator.Done, f.runWithLog("status"))
+	require.Equal(t, operator.Done, f.run("status", a.String()))
+	require.Equal(t, operator.Done, f.runWithLog("restore", "z1", "--as", "tormi"))
+	require.Equal(t, operator.Done, f.runWithLog("history"))
+	require.Equal(t, operator.Done, f.runWithLog("history", "--evacuations", "--output", "json"))
+	f.requireGolden("evacuation")
+}
--- a/operator/publish.go
+++ b/operator/publish.go
@@ -289,21 +289,52 @@
 }
 
 func (s *session) historyCommand() *cobra.Command {
-	return &cobra.Command{
-		Use:     "history",
-		Short:   "List proposals with author, approver and offsets",
-		Long:    "Lists the proposals that the state keeps, oldest first, with what became of each.",
-		Example: "  hibiscusctl history --log 10.0.9.1:7500",
+	var zones bool
+	c := &cobra.Command{
+		Use:   "history",
+		Short: "List proposals and evacuations with operators and offsets",
+		Long: "Lists the proposals that the state keeps, oldest first, with what became of each, and the evacuations of\n" +
+			"availability zones. The JSON output is the list of proposals or, with --evacuations, that of the evacuations.",
+		Example: "  hibiscusctl history --log 10.0.9.1:7500\n  hibiscusctl history --evacuations --log 10.0.9.1:7500",
 		Args:    cobra.NoArgs,
 		RunE: s.withTimeout(func(ctx context.Context, _ []string) error {
 			if err := s.loadState(ctx); err != nil {
 				return err
 			}
-			proposals := []applier.Proposal{}
-			s.follower.View(func(state *applier.State) { proposals = append(proposals, state.Proposals...) })
-			return s.print(proposals, formatHistory(proposals))
+			proposals, evacuations := []applier.Proposal{}, []applier.Evacuation{}
+			s.follower.View(func(state *applier.State) {
+				proposals, evacuations = append(proposals, state.Proposals...), append(evacuations, state.Evacuations...)
+			})
+			if zones {
+				return s.print(evacuations, formatEvacuations(evacuations))
+			}
+			text := formatHistory(proposals)
+			if len(evacuations) > 0 {
+				text += "\n" + formatEvacuations(evacuations)
+			}
+			return s.print(proposals, text)
 		}),
 	}
+	c.Flags().BoolVar(&zones, "evacuations", false, "list only evacuations")
+	return c
+}
+
+func formatEvacuations(evacuations []applier.Evacuation) string {
+	if len(evacuations) == 0 {
+		return "no evacuations\n"
+	}
+	var b strings.Builder
+	w := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "ZONE\tEVACUATED\tBY\tRESTORED\tBY")
+	for _, e := range evacuations {
+		restored := "-"
+		if e.Restored > 0 {
+			restored = strconv.FormatUint(uint64(e.Restored), 10)
+		}
+		fmt.Fprintf(w, "%s\t%d\t%s\t%s\t%s\n", formatCell(e.Zone), e.Offset, formatCell(e.Operator), restored, formatCell(e.RestoredBy))
+	}
+	_ = w.Flush()
+	return b.String()
 }
 
 func formatHistory(proposals []applier.Proposal) string {
--- a/operator/status.go
+++ b/operator/status.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -37,7 +38,9 @@
 	// Version is the highest configuration version, and Newest the highest offset, in the log or at any queried member.
 	Version applier.Offset `json:"version"`
 	Newest  applier.Offset `json:"newest"`
-	Members []memberStatus `json:"members"`
+	// EvacuatedZones is the list in the log or, without it, that of the member that has applied most.
+	EvacuatedZones []string       `json:"evacuated_zones,omitempty"`
+	Members        []memberStatus `json:"members"`
 }
 
 func (s *session) statusCommand() *cobra.Command {
@@ -77,7 +80,7 @@
 		return report, err
 	}
 	s.follower.View(func(state *applier.State) {
-		report.Version, report.Newest = state.Version, state.Applied
+		report.Version, report.Newest, report.EvacuatedZones = state.Version, state.Applied, state.EvacuatedZones()
 		owned := map[applier.MemberID]int{}
 		for _, assignments := range state.Assignments {
 			for _, a := range assignments {
@@ -124,10 +127,14 @@
 	}
 }
 
-// computeLag sets Newest and Version to the highest values of all members, and Lag of each member.
+// computeLag sets Newest and Version to the highest values of all members, EvacuatedZones to the newest list, and Lag of
+// each member.
 func (r *statusReport) computeLag() {
 	for _, m := range r.Members {
 		if m.Status != nil {
+			if m.Status.Applied > r.Newest {
+				r.EvacuatedZones = m.Status.EvacuatedZones
+			}
 			r.Newest, r.Version = max(r.Newest, m.Status.Applied), max(r.Version, m.Status.Version)
 		}
 	}
@@ -141,6 +148,7 @@
 func (r *statusReport) format() string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "version %d in force, newest offset %d, %d members\n", r.Version, r.Newest, len(r.Members))
+	b.WriteString(formatZones(r.EvacuatedZones))
 	if len(r.Members) == 0 {
 		return b.String()
 	}
@@ -156,7 +164,7 @@
 		}
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%s\t%d\t%s\n", formatCell(m.Name), m.Member, formatCell(m.Zone),
 			formatCell(m.Service), m.Status.Version, m.Status.Applied, m.Lag, formatLease(m.Status.Lease), len(m.Status.Owned),
-			m.problem(r.Version))
+			m.problem(r))
 	}
 	_ = w.Flush()
 	if unreachable > 0 {
@@ -165,9 +173,9 @@
 	return b.String()
 }
 
-func (r *memberStatus) problem(version applier.Offset) string {
+func (r *memberStatus) problem(report *statusReport) string {
 	var problems []string
-	if r.Status.Version != version {
+	if r.Status.Version != report.Version {
 		problems = append(problems, "old version")
 	}
 	if !r.Status.Lease.Held && !r.Status.Lease.Exempt {
@@ -176,6 +184,9 @@
 	if r.Status.Draining {
 		problems = append(problems, "draining")
 	}
+	if slices.Contains(report.EvacuatedZones, r.Zone) {
+		problems = append(problems, "evacuated")
+	}
 	return formatCell(strings.Join(problems, ", "))
 }
 
