applier: evacuations that have ended are kept apart

Cause: every keyed request and every placement of a range searched the ended evacuations (256 at most) for those in force; with 11,000 members that is 2.8 million comparisons for each lost member.

Change: State.Evacuations holds those in force only, State.EndedEvacuations the others; with none in force, placement allocates no second list of members. A process that starts logs no evacuations that have ended. TestEvacuations looks at both lists.

--- a/applier/evacuation.go
+++ b/applier/evacuation.go
@@ -1,6 +1,7 @@
 package applier
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/pkg/errors"
@@ -20,7 +21,7 @@
 // Evacuated returns the evacuation of a zone that is in force. It reports false when the zone is not evacuated.
 func (s *State) Evacuated(zone string) (Evacuation, bool) {
 	for _, e := range s.Evacuations {
-		if e.Zone == zone && e.Restored == 0 {
+		if e.Zone == zone {
 			return e, true
 		}
 	}
@@ -30,14 +31,19 @@
 // EvacuatedZones returns the names of the evacuated zones, in ascending order.
 func (s *State) EvacuatedZones() (zones []string) {
 	for _, e := range s.Evacuations {
-		if e.Restored == 0 {
-			zones = append(zones, e.Zone)
-		}
+		zones = append(zones, e.Zone)
 	}
 	slices.Sort(zones)
 	return zones
 }
 
+// AllEvacuations returns the evacuations in force and those that have ended, in order of their offsets.
+func (s *State) AllEvacuations() []Evacuation {
+	all := slices.Concat(s.EndedEvacuations, s.Evacuations)
+	slices.SortStableFunc(all, func(a, b Evacuation) int { return cmp.Compare(a.Offset, b.Offset) })
+	return all
+}
+
 // Available returns those of some members that lie outside evacuated zones.
 func (s *State) Available(members []*Member) []*Member {
 	if len(s.Evacuations) == 0 {
@@ -78,17 +84,10 @@
 	if _, evacuated := s.Evacuated(r.Zone); evacuated {
 		return nil
 	}
-	if len(s.EvacuatedZones()) >= maxEvacuated {
+	if len(s.Evacuations) >= maxEvacuated {
 		return errors.Errorf("%d zones are evacuated; restore one first", maxEvacuated)
 	}
 	s.Evacuations = append(s.Evacuations, Evacuation{Zone: r.Zone, Operator: r.Operator, Offset: offset})
-	for i := 0; len(s.Evacuations) > maxEvacuations && i < len(s.Evacuations); {
-		if s.Evacuations[i].Restored == 0 {
-			i++
-			continue
-		}
-		s.Evacuations = slices.Delete(s.Evacuations, i, i+1)
-	}
 	return nil
 }
 
@@ -96,10 +95,12 @@
 	if err := s.checkEvacuation(r.Zone, r.Operator); err != nil {
 		return err
 	}
-	for i := range s.Evacuations {
-		if e := &s.Evacuations[i]; e.Zone == r.Zone && e.Restored == 0 {
-			e.Restored, e.RestoredBy = offset, r.Operator
-		}
+	ended, evacuated := s.Evacuated(r.Zone)
+	if !evacuated {
+		return nil
 	}
+	s.Evacuations = slices.DeleteFunc(s.Evacuations, func(e Evacuation) bool { return e.Zone == r.Zone })
+	ended.Restored, ended.RestoredBy = offset, r.Operator
+	s.EndedEvacuations = appendBounded(s.EndedEvacuations, ended, maxEndedEvacuations)
 	return nil
 }
--- a/applier/placement.go
+++ b/applier/placement.go
@@ -81,9 +81,9 @@
 		}
 		active = append(active, e)
 	}
-	for _, e := range active {
-		if _, evacuated := s.Evacuated(e.member.Zone); !evacuated {
-			available = append(available, e)
+	for i := 0; len(s.Evacuations) > 0 && i < len(active); i++ {
+		if _, evacuated := s.Evacuated(active[i].member.Zone); !evacuated {
+			available = append(available, active[i])
 		}
 	}
 	if len(available) > 0 {
--- a/applier/state.go
+++ b/applier/state.go
@@ -21,10 +21,10 @@
 	maxRecentCrashes = 4
 	maxPending       = 32
 	maxReasonBytes   = 2048
-	maxEvacuations   = 256
 	// maxEvacuated limits the zones that are evacuated at a time, and maxZoneBytes their names.
-	maxEvacuated = 64
-	maxZoneBytes = 256
+	maxEvacuated        = 64
+	maxEndedEvacuations = 256
+	maxZoneBytes        = 256
 )
 
 // Assignment is a range of a service with its owner.
@@ -119,9 +119,11 @@
 	CheckpointAsOf Offset `cbor:"10,keyasint" json:"checkpoint_as_of"`
 	// PendingCheckpoint tracks the pieces of the checkpoint that is being appended.
 	PendingCheckpoint checkpointProgress `cbor:"11,keyasint" json:"-"`
-	// Evacuations lists the evacuations of availability zones in order of their offsets: those in force, and the last
-	// ones that have ended.
+	// Evacuations lists the evacuations of availability zones that are in force, in order of their offsets.
 	Evacuations []Evacuation `cbor:"12,keyasint,omitempty" json:"evacuations,omitempty"`
+	// EndedEvacuations lists the last ones that have ended, in order of their ends. They are kept apart because every
+	// request and every placement of a range looks for those in force.
+	EndedEvacuations []Evacuation `cbor:"13,keyasint,omitempty" json:"ended_evacuations,omitempty"`
 
 	// index is nil until a record is applied to the state or the state is decoded.
 	index *index
--- a/applier/state_test.go
+++ b/applier/state_test.go
@@ -82,7 +82,7 @@
 	require.NoError(t, err)
 	s, err := DecodeState(data)
 	require.NoError(t, err)
-	require.Empty(t, s.Evacuations)
+	require.Empty(t, s.AllEvacuations())
 	require.Equal(t, data, encoded(t, s))
 }
 
@@ -104,16 +104,17 @@
 	for range 2 {
 		require.True(t, apply(Restore{Zone: "z1", Operator: "ben"}).Accepted)
 	}
-	require.Equal(t, []Evacuation{{Zone: "z1", Operator: "ann", Offset: 5, Restored: 8, RestoredBy: "ben"}}, s.Evacuations)
+	require.Empty(t, s.Evacuations)
+	require.Equal(t, []Evacuation{{Zone: "z1", Operator: "ann", Offset: 5, Restored: 8, RestoredBy: "ben"}}, s.AllEvacuations())
 	for i := range maxEvacuated + 1 {
 		require.Equal(t, i < maxEvacuated, apply(Evacuate{Zone: fmt.Sprint("stays ", i), Operator: "ann"}).Accepted)
 	}
 	require.True(t, apply(Restore{Zone: "stays 0", Operator: "ann"}).Accepted)
-	for range 2 * maxEvacuations {
+	for range 2 * maxEndedEvacuations {
 		require.True(t, apply(Evacuate{Zone: "z1", Operator: "ann"}).Accepted)
 		require.True(t, apply(Restore{Zone: "z1", Operator: "ann"}).Accepted)
 	}
-	require.Len(t, s.Evacuations, maxEvacuations)
+	require.Len(t, s.AllEvacuations(), maxEvacuated-1+maxEndedEvacuations)
 	require.Len(t, s.EvacuatedZones(), maxEvacuated-1)
 	require.Equal(t, encoded(t, s), encoded(t, restore(t, s)))
 }
--- a/daemon/state.go
+++ b/daemon/state.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/netip"
-	"slices"
 	"time"
 
 	"hibiscusline/admitter"
@@ -33,19 +32,22 @@
 }
 
 // logEvacuations writes a log line for each evacuation that began or ended after an offset, and returns the offset of the
-// last change.
+// last change. With offset zero, in a process that has just started, it leaves out those that have ended.
 func (d *Daemon) logEvacuations(after applier.Offset) applier.Offset {
 	var evacuations []applier.Evacuation
-	d.state.View(func(s *applier.State) { evacuations = slices.Clone(s.Evacuations) })
+	d.state.View(func(s *applier.State) { evacuations = s.AllEvacuations() })
 	last := after
 	for _, e := range evacuations {
+		last = max(last, e.Offset, e.Restored)
+		if after == 0 && e.Restored > 0 {
+			continue
+		}
 		if e.Offset > after {
 			d.log("state", "zone evacuated", "zone", e.Zone, "operator", e.Operator, "offset", e.Offset)
 		}
 		if e.Restored > after {
 			d.log("state", "zone restored", "zone", e.Zone, "operator", e.RestoredBy, "offset", e.Restored)
 		}
-		last = max(last, e.Offset, e.Restored)
 	}
 	return last
 }
--- a/operator/evacuate.go
+++ b/operator/evacuate.go
@@ -90,7 +90,7 @@
 				}
 			}
 		}
-		for _, e := range state.Evacuations {
+		for _, e := range state.AllEvacuations() {
 			known[e.Zone] = true
 		}
 	})
--- a/operator/publish.go
+++ b/operator/publish.go
@@ -303,7 +303,7 @@
 			}
 			proposals, evacuations := []applier.Proposal{}, []applier.Evacuation{}
 			s.follower.View(func(state *applier.State) {
-				proposals, evacuations = append(proposals, state.Proposals...), append(evacuations, state.Evacuations...)
+				proposals, evacuations = append(proposals, state.Proposals...), append(evacuations, state.AllEvacuations()...)
 			})
 			if zones {
 				return s.print(evacuations, formatEvacuations(evacuations))
