--- a/daemon/state.go
+++ b/daemon/state.go
@@ -14,9 +14,10 @@
 // watchState passes changes of the state to the components that depend on it.
 func (d *Daemon) watchState(ctx context.Context) {
 	const idle = time.Second
-	var version applier.Offset
+	var version, evacuated applier.Offset
 	for {
 		changed := d.state.Changed()
+		evacuated = d.logEvacuations(evacuated)
 		d.redialReplaced()
 		if n := d.incarnation(); n != nil {
 			version = d.applyState(n, version)
@@ -30,6 +31,27 @@
 	}
 }
 
+// logEvacuations writes a log line for each evacuation that began or ended after an offset, and returns the offset of the
+// last change. With offset zero, in a process that has just started, it leaves out those that have ended.
+func (d *Daemon) logEvacuations(after applier.Offset) applier.Offset {
+	var evacuations []applier.Evacuation
+	d.state.View(func(s *applier.State) { evacuations = s.AllEvacuations() })
+	last := after
+	for _, e := range evacuations {
+		last = max(last, e.Offset, e.Restored)
+		if after == 0 && e.Restored > 0 {
+			continue
+		}
+		if e.Offset > after {
+			d.log("state", "zone evacuated", "zone", e.Zone, "operator", e.Operator, "offset", e.Offset)
+		}
+		if e.Restored > after {
+			d.log("state", "zone restored", "zone", e.Zone, "operator", e.RestoredBy, "offset", e.Restored)
+		}
+	}
+	return last
+}
+
 // redialReplaced makes the next message to a new member at a known address open a new connection. The connection to
 // the previous process there has ended, and messages sent on it are lost until a stateless reset arrives, which can take
 // 11 s.
