executor: a cold server may take longer before it counts as stalled

Cause: a restarted process knows no service time, so its server counted as stalled 600 ms after the first request. A cold server takes several times as long, and by then the pace has started only some requests on it.

Change: what was sent while the server was cold has 2.4 s for its first answer, also if the server has become warm since.

No existing test sets a cold rate.

Measured: TestSlowWhileCold fails before ("a cold server isn't stalled yet": 803 ms) and passes now.

--- a/executor/cold.go
+++ b/executor/cold.go
@@ -13,6 +13,8 @@
 	ColdCounts
 	// countedAt is the time up to which the cold time is counted.
 	countedAt time.Duration
+	// endedAt is the end of the latest cold time before the current one, or zero.
+	endedAt time.Duration
 }
 
 // ColdCounts counts the requests that were sent to a cold server and those that were refused because it was cold, and the
@@ -37,9 +39,21 @@
 	if s.ColdUntil == g.server.ColdUntil && s.ColdRate == g.server.ColdRate {
 		return
 	}
+	if g.server.ColdRate > 0 {
+		g.cold.endedAt = min(now, g.server.ColdUntil)
+	}
 	g.queue.Step(now, admitter.Pace{State: limiter.State{Until: s.ColdUntil, Rate: s.ColdRate}})
 }
 
+// stallLimit returns how long the server may take for an answer before it counts as stalled. The caller holds mu.
+func (g *Executor) stallLimit(now time.Duration) time.Duration {
+	limit := stallTimeout
+	if now < max(g.server.ColdUntil, g.cold.endedAt)+coldStallTimeout && (g.server.ColdRate > 0 || g.cold.endedAt > 0) {
+		limit = coldStallTimeout
+	}
+	return max(limit, stallServiceTimes*g.queue.Admitter().MeanServiceTime())
+}
+
 // countColdTime adds the cold time since the last call. The caller holds mu.
 func (g *Executor) countColdTime(now time.Duration) {
 	if g.server.ColdRate > 0 {
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -109,6 +109,9 @@
 	stallTimeout = 600 * time.Millisecond
 	// stallServiceTimes is the limit as a number of average service times. The longer limit applies.
 	stallServiceTimes = 5
+	// coldStallTimeout replaces stallTimeout for what was sent while the server was cold: a cold server takes several times
+	// as long, and after the start of the process no service time is known yet.
+	coldStallTimeout = 4 * stallTimeout
 )
 
 // New returns an Executor without a server.
@@ -290,7 +293,7 @@
 		return s, Result{Outcome: NotRun, Reason: reason, RetryAfter: defaultRetryAfter}, true
 	}
 	g.mu.Lock()
-	stalled := g.stall.Stalled(now, max(stallTimeout, stallServiceTimes*g.queue.Admitter().MeanServiceTime()))
+	stalled := g.stall.Stalled(now, g.stallLimit(now))
 	g.mu.Unlock()
 	switch {
 	case stalled:
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -16,6 +16,7 @@
 
 	"hibiscusline/carrier"
 	"hibiscusline/executor"
+	"hibiscusline/limiter"
 	"hibiscusline/platform/simulator"
 	"hibiscusline/timer"
 )
@@ -34,6 +35,7 @@
 	g := executor.New(executor.Config{
 		Backend: netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")), Logger: log.NewNopLogger(),
 		Permits: func(time.Duration, uint16) bool { return true }, OnConnectionRefused: func(string) {}, Link: link,
+		Pace: limiter.Config{Share: 1.5, Slack: 8},
 	})
 	g.SetServer(executor.Server{Instance: "i-1", Service: "stock", Slots: slots})
 	return g
@@ -116,6 +118,45 @@
 	require.Equal(t, executor.DeadlinePassed, r.Reason, "a stalled server is sent one request at a time")
 }
 
+// TestSlowWhileCold guards against a cold server whose requests are refused as if it were stalled, because the first answers of
+// a cold server take longer than those of a warm one and no service time is known yet.
+func TestSlowWhileCold(t *testing.T) {
+	answer := make(chan struct{})
+	release := sync.OnceFunc(func() { close(answer) })
+	g := newExecutor(t, 4, func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-answer:
+			respond(w, r)
+		case <-r.Context().Done():
+		}
+	})
+	t.Cleanup(release)
+	now := timer.Now()
+	g.SetServer(executor.Server{Instance: "i-1", Service: "stock", Slots: 4, ColdUntil: now + 1200*time.Millisecond, ColdRate: 100})
+	first := make(chan executor.Result, 1)
+	go func() { first <- g.Run(context.Background(), newJob("a", time.Minute)) }()
+	stalledAfter := func(ctx context.Context) time.Duration {
+		for ctx.Err() == nil {
+			if g.Run(ctx, newJob("b", 200*time.Millisecond)).Reason == executor.ServerStalled {
+				return timer.Now() - now
+			}
+		}
+		return 0
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(900*time.Millisecond))
+	defer cancel()
+	require.Zero(t, stalledAfter(ctx), "a cold server isn't stalled yet")
+	g.SetServer(executor.Server{Instance: "i-1", Service: "stock", Slots: 4})
+	ctx, cancel = context.WithDeadline(context.Background(), time.Now().Add(900*time.Millisecond))
+	defer cancel()
+	require.Zero(t, stalledAfter(ctx), "what was sent while the server was cold still takes longer")
+	ctx, cancel = context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	require.Greater(t, stalledAfter(ctx), 2*time.Second, "a server that stays silent is stalled in the end")
+	release()
+	require.Equal(t, executor.Answered, (<-first).Outcome)
+}
+
 // TestLinkBusy guards against downloads that run although the link is saturated until long after their latency target,
 // and against small responses that are refused because of them.
 func TestLinkBusy(t *testing.T) {
