--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -118,8 +118,8 @@
 	require.Equal(t, executor.DeadlinePassed, r.Reason, "a stalled server is sent one request at a time")
 }
 
-// TestSlowWhileCold guards against a cold server whose requests are refused as if it were stalled, because the first answers of
-// a cold server take longer than those of a warm one and no service time is known yet.
+// TestSlowWhileCold guards against a cold server whose requests are refused as if it were stalled, because its first answers
+// take longer than those of a warm one and no service time is known yet.
 func TestSlowWhileCold(t *testing.T) {
 	answer := make(chan struct{})
 	release := sync.OnceFunc(func() { close(answer) })
@@ -132,7 +132,9 @@
 	})
 	t.Cleanup(release)
 	now := timer.Now()
-	g.SetServer(executor.Server{Instance: "i-1", Service: "stock", Slots: 4, ColdUntil: now + 1200*time.Millisecond, ColdRate: 100})
+	g.SetServer(executor.Server{
+		Instance: "i-1", Service: "stock", Slots: 4, ColdUntil: now + 1200*time.Millisecond, ColdRate: 100,
+	})
 	first := make(chan executor.Result, 1)
 	go func() { first <- g.Run(context.Background(), newJob("a", time.Minute)) }()
 	stalledAfter := func(ctx context.Context) time.Duration {
