admitter, KNOWN-RED: the flood of a slow server is tested under ranked again

Cause: the test had come to run under least_cost only, though ranked stays selectable and fails it: a check was lost.

--- a/admitter/flood_test.go
+++ b/admitter/flood_test.go
@@ -306,10 +306,12 @@
 }
 
 // TestSlowServerFlood guards against a queue that admits half a second of a flood each time it is empty for a moment.
-func TestSlowServerFlood(t *testing.T) {
+func TestSlowServerFlood(t *testing.T) { underPolicies(t, testSlowServerFlood) }
+
+func testSlowServerFlood(t *testing.T, p Policy) {
 	const seconds = 62
 	w := slowServer(48, 700*time.Millisecond)
-	o := simulate(Config{Slots: 11, QueueLimit: 512, Policy: LeastCost}, []workload{w}, seconds)[0]
+	o := simulate(Config{Slots: 11, QueueLimit: 512, Policy: p}, []workload{w}, seconds)[0]
 	t.Logf("%+v", o)
 	require.Greater(t, float64(o.inTime), 0.9*shareInTime(w)*float64(o.inTime+o.late))
 	require.Greater(t, o.slotTime, 95*11*(seconds*time.Second-warmUp)/100, "the slots stay busy")
