review: show that a leaving is forgotten once its server is taken to have ended

Looked for: acknowledged leavings that a process which starts again doesn't know, against rule DRAIN. review/7 lets a server leave by its deregistration, kills the process beside it 4 s later, starts it again, and lets a report from before the leaving arrive late.

--- a/review/rig/backend.go
+++ b/review/rig/backend.go
@@ -38,12 +38,13 @@
 	seq    uint64
 	holds  []hold
 	freed  [][3]any
-	begun  map[uint64]time.Time
 	status map[int]int
+	// silent means that the server sends no more reports.
+	silent bool
 }
 
 func newBackend(b *backend) *backend {
-	b.born, b.begun, b.status = time.Now().UnixMilli(), map[uint64]time.Time{}, map[int]int{}
+	b.born, b.status = time.Now().UnixMilli(), map[int]int{}
 	return b
 }
 
@@ -69,22 +70,12 @@
 
 // report sends a liveness report. It returns whether keys were released, so that the next one is due early.
 func (b *backend) report(ctx context.Context) bool {
-	b.mu.Lock()
 	now := time.Now()
-	b.holds = slices.DeleteFunc(b.holds, func(h hold) bool { return !now.Before(h.until) })
-	b.seq++
-	rows := [][3]uint64{}
-	for _, h := range b.holds {
-		rows = append(rows, [3]uint64{h.first, h.last, h.token})
-	}
-	body := map[string]any{
-		"address": b.address, "born": b.born,
-		"info":   map[string]any{"service": b.service, "zone": b.zone, "slots": 12, "version": "v1"},
-		"status": map[string]any{"state": "ready", "seq": b.seq, "cold_left": "0ms"},
-		"holds":  rows, "freed": b.freed,
+	body, silent := b.nextReport(now)
+	if silent {
+		return false
 	}
-	b.mu.Unlock()
-	status, data := post(ctx, b.control, "/Instances.Heartbeat/"+b.id, body)
+	status, data := post(ctx, b.control, reportPath+b.id, body)
 	b.mu.Lock()
 	b.status[status]++
 	first := b.status[status] == 1
@@ -98,6 +89,40 @@
 	return b.apply(data, now)
 }
 
+// Paths of what a server says of itself. Its id follows.
+const (
+	reportPath = "/Instances.Heartbeat/"
+	leavePath  = "/Instances.Deregister/"
+)
+
+// nextReport returns the next liveness report, and whether the server sends none any more.
+func (b *backend) nextReport(now time.Time) (map[string]any, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.holds = slices.DeleteFunc(b.holds, func(h hold) bool { return !now.Before(h.until) })
+	b.seq++
+	rows := [][3]uint64{}
+	for _, h := range b.holds {
+		rows = append(rows, [3]uint64{h.first, h.last, h.token})
+	}
+	return map[string]any{
+		"address": b.address, "born": b.born,
+		"info":   map[string]any{"service": b.service, "zone": b.zone, "slots": 12, "version": "v1"},
+		"status": map[string]any{"state": "ready", "seq": b.seq, "cold_left": "0ms"},
+		"holds":  rows, "freed": b.freed,
+	}, b.silent
+}
+
+// leave announces that the server leaves, without having reported that it drains, and returns the status of the answer. The
+// server goes on serving and sends no more reports.
+func (b *backend) leave(ctx context.Context) int {
+	b.mu.Lock()
+	b.silent = true
+	b.mu.Unlock()
+	status, _ := post(ctx, b.control, leavePath+b.id, map[string]any{"born": b.born})
+	return status
+}
+
 // apply takes the answer to a report that was sent at a time.
 func (b *backend) apply(data []byte, sent time.Time) bool {
 	var r struct {
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -42,6 +42,8 @@
 	switch scenario {
 	case "odd-report":
 		code, err = oddReport(f, trouble)
+	case "late-report":
+		code, err = lateReport(f, trouble)
 	default:
 		code, err = notRun, fmt.Errorf("no case %q", scenario)
 	}
@@ -81,6 +83,19 @@
 	return r.StatusCode
 }
 
+// orders sends orders, which may run once at most, to some entries until ctx ends.
+func (f *fleet) orders(ctx context.Context, entries []*node, perSecond int) {
+	client := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 20}}
+	for i := 0; ctx.Err() == nil; i++ {
+		n := entries[i%len(entries)]
+		go func() {
+			status := f.call(client, n.listen, http.MethodPost, "/orders/1", -1)
+			f.record.count(fmt.Sprintf("orders sent, answered with %d", status))
+		}()
+		time.Sleep(time.Second / time.Duration(perSecond))
+	}
+}
+
 // traffic sends reads of random keys to all entries until ctx ends.
 func (f *fleet) traffic(ctx context.Context, perSecond int) {
 	client := &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 20}}
--- a/review/rig/recorder.go
+++ b/review/rig/recorder.go
@@ -65,6 +65,26 @@
 	return n
 }
 
+// begunBy returns how many requests a server has begun from a time on, and the first and the last of these times.
+func (r *recorder) begunBy(server string, from time.Time) (n int, first, last time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, list := range r.runs {
+		for _, x := range list {
+			if x.server != server || x.at.Before(from) {
+				continue
+			}
+			if n++; n == 1 || x.at.Before(first) {
+				first = x.at
+			}
+			if x.at.After(last) {
+				last = x.at
+			}
+		}
+	}
+	return n, first, last
+}
+
 // summary writes the counts.
 func (r *recorder) summary() {
 	for _, what := range slices.Sorted(maps.Keys(r.counts)) {
