review: show that a request whose callers leave early crashes servers without end

Looked for: crashes that the quarantine of requests doesn't notice, against rule BUDGET. review/8 sends a request that crashes each server 350 ms after it has begun, twice a second, from callers that leave after 250 ms, half the objective.

--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,3 @@
+#!/usr/bin/env bash
+# Case 8: a request that crashes servers is not refused if its callers leave early.
+exec "$(dirname "$0")/../case-2.sh" 8 poison
--- a/review/rig/backend.go
+++ b/review/rig/backend.go
@@ -41,6 +41,11 @@
 	status map[int]int
 	// silent means that the server sends no more reports.
 	silent bool
+	// poison is the path of requests that crash the server, if it isn't empty, and onCrash is called when one has.
+	poison  string
+	onCrash func()
+	server  *http.Server
+	crashed bool
 }
 
 func newBackend(b *backend) *backend {
@@ -51,6 +56,9 @@
 // run serves requests and sends liveness reports until ctx ends.
 func (b *backend) run(ctx context.Context) error {
 	server := &http.Server{Addr: b.address, Handler: http.HandlerFunc(b.serve), ReadHeaderTimeout: 5 * time.Second}
+	b.mu.Lock()
+	b.server = server
+	b.mu.Unlock()
 	done := make(chan error, 1)
 	go func() { done <- server.ListenAndServe() }()
 	for {
@@ -203,6 +211,11 @@
 		}
 	}
 	b.record.begin(id, b, key, now)
+	if b.poison != "" && r.URL.Path == b.poison {
+		time.Sleep(crashTime)
+		b.crash()
+		panic(http.ErrAbortHandler)
+	}
 	select {
 	case <-time.After(b.work):
 	case <-r.Context().Done():
@@ -212,6 +225,19 @@
 	_, _ = fmt.Fprintf(w, "%s %s\n", b.id, id) // The caller sees a failure.
 }
 
+// crash ends the server at once: it closes its listener and all connections, and holds nothing more.
+func (b *backend) crash() {
+	b.mu.Lock()
+	first := !b.crashed
+	b.crashed, b.holds, b.silent = true, nil, true
+	b.mu.Unlock()
+	if !first {
+		return
+	}
+	_ = b.server.Close() // What it returns doesn't matter to a server that has crashed.
+	b.onCrash()
+}
+
 func (b *backend) refuse(w http.ResponseWriter, id string) {
 	b.record.count("refused with 421 by " + b.id)
 	w.Header().Set("Not-Executed", "1")
--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 
@@ -21,9 +22,11 @@
 	name, zone, service                          string
 	listen, peer, ready, control, metrics, local string
 	settings                                     string
-	server                                       *backend
-	command                                      *exec.Cmd
-	stopServer                                   context.CancelFunc
+	// The mutex guards server, which changes when a server starts again.
+	mu         sync.Mutex
+	server     *backend
+	command    *exec.Cmd
+	stopServer context.CancelFunc
 }
 
 // fleet is a small deployment on loopback addresses.
@@ -124,13 +127,28 @@
 	return errors.Join(n.command.Start(), log.Close())
 }
 
+// setServer sets the server of a machine, which is a new life of the one before.
+func (f *fleet) setServer(n *node, b *backend) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.server = b
+}
+
+// current returns the server of a machine.
+func (n *node) current() *backend {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.server
+}
+
 // startServer starts the backend server of a machine.
 func (f *fleet) startServer(n *node) {
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stopServer = cancel
+	b := n.current()
 	go func() {
-		if err := n.server.run(ctx); err != nil {
-			f.record.note("server %s ended: %v", n.server.id, err)
+		if err := b.run(ctx); err != nil {
+			f.record.note("server %s ended: %v", b.id, err)
 		}
 	}()
 }
@@ -166,7 +184,7 @@
 			if x.service != service {
 				continue
 			}
-			if _, holds := x.server.holding(now, key); holds {
+			if _, holds := x.current().holding(now, key); holds {
 				n++
 				break
 			}
--- a/review/rig/owner.go
+++ b/review/rig/owner.go
@@ -49,10 +49,10 @@
 	for key := uint64(0); key < keyCount; key += keyStep {
 		var holders []int
 		for i, n := range w.fleet.nodes {
-			if !n.server.keyed {
+			if !n.current().keyed {
 				continue
 			}
-			if _, holds := n.server.holding(now, key); holds {
+			if _, holds := n.current().holding(now, key); holds {
 				holders = append(holders, i)
 			}
 		}
@@ -97,7 +97,7 @@
 // broken writes what was seen, and reports whether the rule was broken.
 func (w *ownerWatch) broken() bool {
 	for id, longest := range w.longest {
-		a, b := w.fleet.nodes[id[0]].server, w.fleet.nodes[id[1]].server
+		a, b := w.fleet.nodes[id[0]].current(), w.fleet.nodes[id[1]].current()
 		w.fleet.record.note("servers %s and %s held the same key for %.2f s at the longest; for more than 0.5 s: %d of %d checked keys",
 			a.id, b.id, longest.Seconds(), len(w.keys[id]), keyCount/keyStep)
 		if len(w.keys[id]) > 0 {
--- a/review/rig/recorder.go
+++ b/review/rig/recorder.go
@@ -5,6 +5,7 @@
 	"io"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -65,6 +66,19 @@
 	return n
 }
 
+// begunAfter returns how many requests, whose ids begin with a text, some server has begun after a time.
+func (r *recorder) begunAfter(prefix string, after time.Time) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for id, list := range r.runs {
+		if strings.HasPrefix(id, prefix) && slices.ContainsFunc(list, func(x run) bool { return x.at.After(after) }) {
+			n++
+		}
+	}
+	return n
+}
+
 // begunBy returns how many requests a server has begun from a time on, and the first and the last of these times.
 func (r *recorder) begunBy(server string, from time.Time) (n int, first, last time.Time) {
 	r.mu.Lock()
