--- a/review/rig/backend.go
+++ b/review/rig/backend.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -122,10 +121,10 @@
 }
 
 // leave announces that the server leaves, without having reported that it drains, and returns the status of the answer. The
-// server goes on serving and sends no more reports.
-func (b *backend) leave(ctx context.Context) int {
+// server goes on serving. It sends further reports, in which its state is as before, or none.
+func (b *backend) leave(ctx context.Context, reports bool) int {
 	b.mu.Lock()
-	b.silent = true
+	b.silent = !reports
 	b.mu.Unlock()
 	status, _ := post(ctx, b.control, leavePath+b.id, map[string]any{"born": b.born})
 	return status
@@ -222,7 +221,7 @@
 		return
 	}
 	w.Header().Set("Response-Signature", "s."+id)
-	_, _ = fmt.Fprintf(w, "%s %s\n", b.id, id) // The caller sees a failure.
+	_, _ = w.Write([]byte(b.id + " " + id + "\n")) // The caller sees a failure.
 }
 
 // crash ends the server at once: it closes its listener and all connections, and holds nothing more.
--- a/review/rig/late.go
+++ b/review/rig/late.go
@@ -57,7 +57,7 @@
 		status, _ := post(ctx, n.control, reportPath+n.server.id, report)
 		f.record.note("the last report before the leaving was answered with %d", status)
 	}
-	status := n.server.leave(ctx)
+	status := n.server.leave(ctx, false)
 	acknowledged := time.Now()
 	f.record.note("the leaving of %s was answered with %d", n.server.id, status)
 	if status != http.StatusOK {
@@ -85,17 +85,22 @@
 	time.Sleep(2 * time.Second)
 	cancel()
 	time.Sleep(time.Second)
+	return f.judgeLeaving(n, acknowledged, restarted), nil
+}
+
+// judgeLeaving checks rule DRAIN for a leaving that was acknowledged at a time. Since another time nothing is disturbed.
+func (f *fleet) judgeLeaving(n *node, acknowledged, calm time.Time) int {
 	// Only what machines in touch have sent on counts.
 	from := acknowledged.Add(drainBound)
-	if touched := restarted.Add(touchBound); touched.After(from) {
+	if touched := calm.Add(touchBound); touched.After(from) {
 		from = touched
 	}
 	all, _, _ := f.record.begunBy(n.server.id, acknowledged.Add(drainBound))
 	count, first, last := f.record.begunBy(n.server.id, from)
 	f.record.note("orders that reached %s later than 2 s after the ack: %d, of them by machines in touch: %d", n.server.id, all, count)
 	if count == 0 {
-		return held, nil
+		return held
 	}
 	f.record.note("these came %.2f s to %.2f s after the ack", first.Sub(acknowledged).Seconds(), last.Sub(acknowledged).Seconds())
-	return broken, nil
+	return broken
 }
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -42,6 +42,8 @@
 	switch scenario {
 	case "odd-report":
 		code, err = oddReport(f, trouble)
+	case "forgotten":
+		code, err = forgotten(f, trouble)
 	case "poison":
 		code, err = poison(f, trouble)
 	case "late-report":
--- a/review/rig/odd.go
+++ b/review/rig/odd.go
@@ -42,6 +42,7 @@
 			"address": n.local, "born": time.Now().UnixMilli(),
 			"info":   map[string]any{"service": "varu", "slots": 12},
 			"status": map[string]any{"state": "ready", "seq": 1},
+			"holds":  [][3]uint64{}, "freed": [][3]any{},
 		})
 		f.record.note("the report of another writer, without zone, version and cold_left, was answered with %d", status)
 	}
