--- a/review/case-2.sh
+++ b/review/case-2.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Runs a scripted case of the second review: case-2.sh FOLDER SCENARIO. The exit code is 1 if the rule was broken, 0 if it held
-# and 2 if the case couldn't run. TROUBLE=0 leaves the disruption out.
+# Runs a scripted case of the second review: case-2.sh FOLDER SCENARIO TROUBLE. The exit code is 1 if the rule was broken, 0 if it
+# held and 2 if the case couldn't run. With 0 for TROUBLE the disruption is left out.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 rig=target/review-2/rig
@@ -11,7 +11,7 @@
 directory=$(mktemp -d) || exit 2
 trap 'rm -rf "$directory"' EXIT
 trouble=true
-if [ "${TROUBLE:-1}" = 0 ]; then
+if [ "$3" = 0 ]; then
   trouble=false
 fi
 timeout --kill-after=3 112 "$rig" --scenario "$2" --binary target/hibiscusd --directory "$directory" \
