--- a/review/rig/replaced.go
+++ b/review/rig/replaced.go
@@ -16,6 +16,10 @@
 	replacementGap = time.Second
 	// servesOn is how long a server serves after the acknowledgement of its leaving.
 	servesOn = 2500 * time.Millisecond
+	// leavesAt, storeBack and leaverEnds count from the moment at which the store goes down.
+	leavesAt   = 300 * time.Millisecond
+	storeBack  = 4500 * time.Millisecond
+	leaverEnds = 13 * time.Second
 )
 
 // zones are the availability zones of the site.
