--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -46,6 +46,8 @@
 		code, err = replaced(f, trouble)
 	case "poison":
 		code, err = poison(f, trouble)
+	case "unreadable":
+		code, err = unreadable(f, trouble)
 	case "late-report":
 		code, err = lateReport(f, trouble)
 	default:
