--- a/review/rig/backend.go
+++ b/review/rig/backend.go
@@ -33,10 +33,12 @@
 	beat, work                          time.Duration
 	record                              *recorder
 
-	mu     sync.Mutex
-	seq    uint64
-	holds  []hold
-	freed  [][3]any
+	mu    sync.Mutex
+	seq   uint64
+	holds []hold
+	freed [][3]any
+	// seen holds the highest fencing token that was seen for each key.
+	seen   [keyCount]uint64
 	status map[int]int
 	// silent means that the server sends no more reports.
 	silent bool
@@ -155,7 +157,9 @@
 	}
 	var next []hold
 	for _, h := range *r.Holds {
-		next = append(next, hold{h.First, h.Last, h.Token, sent.Add(length)})
+		if row := (hold{h.First, h.Last, h.Token, sent.Add(length)}); b.accepts(row) {
+			next = append(next, row)
+		}
 	}
 	released := false
 	for _, h := range b.holds {
@@ -168,6 +172,20 @@
 	return released
 }
 
+// accepts reports whether the server takes a row. It doesn't if it has seen a higher token on one of its keys.
+func (b *backend) accepts(h hold) bool {
+	for key := h.first; key <= h.last; key++ {
+		if b.seen[key] > h.token {
+			b.record.count("rows with an older token not accepted by " + b.id)
+			return false
+		}
+	}
+	for key := h.first; key <= h.last; key++ {
+		b.seen[key] = h.token
+	}
+	return true
+}
+
 func covers(list []hold, h hold) bool {
 	for key := h.first; key <= h.last; key++ {
 		if !slices.ContainsFunc(list, func(x hold) bool { return x.first <= key && key <= x.last }) {
