carrier: report a reset that only the write of the request was told of

Callers saw part of a body as a complete answer (MIXED): a backend server answered a long upload at once with 200 and no length, sent part of the body and reset the connection while the upload was still being written.

Cause: the kernel reports the abort of a connection once. The upload is written beside the read of the response. If the write was told of the reset, the next read returned the end of the stream, which completes a body without a length.

Change: connections of carrier.Pool (backend servers, other processes, the platform's store), of dispatcher and of appender keep the error with which a write learned of an abort, and report it to a read in place of the end. A read that sees the end stops a write in progress first, so no error is missed. EPIPE is no abort: the other end had closed its direction in order before. Answers that end so, or that have their whole length, are delivered as before. Not changed: health probes (daemon) and calls of hibiscusctl, which write nothing while a response arrives.

--- a/appender/traffic.go
+++ b/appender/traffic.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+
+	"hibiscusline/carrier"
 )
 
 const (
@@ -24,7 +26,7 @@
 		return nil, err
 	}
 	c.trafficBytes.Add(handshakeBytes)
-	return &countedConnection{Conn: connection, client: c}, nil
+	return &countedConnection{Conn: carrier.ReportAborts(connection), client: c}, nil
 }
 
 type countedConnection struct {
--- a/carrier/pool.go
+++ b/carrier/pool.go
@@ -87,7 +87,9 @@
 
 // poolConn is one connection of a Pool.
 type poolConn struct {
-	net     net.Conn
+	net net.Conn
+	// stream reads and writes net.
+	stream  net.Conn
 	limited limitedReader
 	reader  *bufio.Reader
 	// used means that the connection has carried a request.
@@ -227,7 +229,8 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	c := &poolConn{net: nc, limited: limitedReader{source: nc}, expires: timer.Now() + p.config.IdleTimeout}
+	stream := ReportAborts(nc)
+	c := &poolConn{net: nc, stream: stream, limited: limitedReader{source: stream}, expires: timer.Now() + p.config.IdleTimeout}
 	c.reader = bufio.NewReaderSize(&c.limited, readBuffer)
 	p.track(to, c)
 	return c, nil
@@ -286,7 +289,7 @@
 	head, body := encodeRequest(x.request)
 	written := closedChannel
 	if len(body) <= maxInlineBody {
-		n, err := x.conn.net.Write(append(head, body...))
+		n, err := x.conn.stream.Write(append(head, body...))
 		x.sent = n > 0
 		if err != nil {
 			return nil, false, errors.Wrap(err, "write request")
@@ -296,7 +299,7 @@
 		written = make(chan struct{})
 		go func() {
 			buffers := net.Buffers{head, body}
-			if _, err := buffers.WriteTo(x.conn.net); err == nil {
+			if _, err := buffers.WriteTo(x.conn.stream); err == nil {
 				close(written)
 			}
 		}()
--- a/dispatcher/backend.go
+++ b/dispatcher/backend.go
@@ -71,13 +71,23 @@
 		Transport: &http.Transport{
 			MaxConnsPerHost: limit, MaxIdleConnsPerHost: limit, IdleConnTimeout: time.Minute,
 			DisableCompression: true, ResponseHeaderTimeout: 0, MaxResponseHeaderBytes: maxResponseHeaderBytes,
-			DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
+			DialContext: dial,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	return limit
 }
 
+const connectTimeout = time.Second
+
+func dial(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := (&net.Dialer{Timeout: connectTimeout}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return carrier.ReportAborts(c), nil
+}
+
 func (b *backend) currentClient() *http.Client {
 	b.mu.Lock()
 	defer b.mu.Unlock()
