carrier: refuse answers whose header has a field name with a blank

Cause: net/http accepts blanks in the names of fields, keeps such a name as it is, and so doesn't take it for the framing. CheckResponse, through which all answers pass (backend servers on both paths, other processes, the store, the log, health probes), looked at the status line only.

Such an answer is malformed and its outcome unknown. Answers of other processes of the product's own form, which may be older, are checked in encoder.

Why it works: after the check every name is a token, so a line can't pass for another field. Names of all token characters, empty values, tabs and bytes above 0x7f in values are delivered as before. FuzzResponse checks fields.

--- a/carrier/fuzz_test.go
+++ b/carrier/fuzz_test.go
@@ -2,18 +2,22 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"hibiscusline/carrier"
 )
 
-// FuzzResponse guards against bytes of a backend server that end the process, against an answer whose status isn't one of
-// HTTP, and against a truncated body that counts as complete: a response with a length must have all of its body.
+// FuzzResponse guards against bytes of a backend server that end the process, against an answer whose status or header
+// isn't one of HTTP, and against a truncated body that counts as complete: a response with a length must have all of its body.
 func FuzzResponse(f *testing.F) {
 	for _, text := range responseForms {
 		f.Add([]byte(text))
@@ -21,6 +25,9 @@
 	for line := range statusLines(f) {
 		f.Add([]byte(line + "\r\nId: a\r\nContent-Length: 0\r\n\r\n"))
 	}
+	for line := range quotedLines(f, "testdata/field_lines.txt") {
+		f.Add([]byte(fmt.Sprintf(fieldLineResponses["length"], line)))
+	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		address, _ := startScriptedServer(t, func(c net.Conn, r *bufio.Reader, _ *atomic.Int32) {
 			defer c.Close()
@@ -32,9 +39,24 @@
 		if err == nil && (response.Status < 200 || response.Status > 599) {
 			t.Fatalf("status %d counts as an answer", response.Status)
 		}
+		if err == nil {
+			requireFields(t, response.Header)
+		}
 	})
 }
 
+// requireFields requires names and values of fields that the next reader of the response doesn't take for something else.
+func requireFields(t *testing.T, h http.Header) {
+	t.Helper()
+	isControl := func(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
+	for name, values := range h {
+		require.False(t, strings.ContainsAny(name, " \t"), "name %q", name)
+		for _, text := range append(values, name) {
+			require.False(t, strings.ContainsFunc(text, isControl), "field %q", text)
+		}
+	}
+}
+
 // FuzzRequest guards against bytes of a caller that end the process, or a connection that is neither answered nor closed.
 func FuzzRequest(f *testing.F) {
 	f.Add([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
--- a/carrier/status.go
+++ b/carrier/status.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"github.com/pkg/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // statusLineForm is the beginning of a status line up to the status code. A digit stands for all digits up to it.
@@ -46,8 +47,8 @@
 }
 
 // CheckResponse returns ErrMalformedResponse if what net/http has parsed isn't an HTTP/1 response to a request that asks for
-// no other protocol: net/http accepts every status code of three digits, signs in it, other versions of the protocol and
-// control bytes.
+// no other protocol: net/http accepts every status code of three digits, signs in it, other versions of the protocol, control
+// bytes in the status and blanks in the names of fields.
 func CheckResponse(r *http.Response) error {
 	switch {
 	case r.Proto != "HTTP/1.1" && r.Proto != "HTTP/1.0":
@@ -62,5 +63,16 @@
 			return errors.Wrapf(ErrMalformedResponse, "control byte in the status %q", r.Status)
 		}
 	}
+	return CheckFieldNames(r.Header)
+}
+
+// CheckFieldNames returns ErrMalformedResponse if the header of a response has a field whose name isn't one of HTTP. Such a field
+// may have been meant to delimit the body, so the body can't be trusted either.
+func CheckFieldNames(h map[string][]string) error {
+	for name := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Wrapf(ErrMalformedResponse, "header field with the name %q", name)
+		}
+	}
 	return nil
 }
--- a/carrier/status_test.go
+++ b/carrier/status_test.go
@@ -18,25 +18,30 @@
 	"hibiscusline/carrier"
 )
 
-// statusLines returns status lines, and whether each is one of an answer.
-func statusLines(t testing.TB) map[string]bool {
+// quotedLines returns the lines of a file that holds a quoted line and its kind in each row.
+func quotedLines(t testing.TB, path string) map[string]string {
 	t.Helper()
-	data, err := os.ReadFile("testdata/status_lines.txt")
+	data, err := os.ReadFile(path)
 	require.NoError(t, err)
-	lines := map[string]bool{}
+	lines := map[string]string{}
 	for row := range strings.Lines(string(data)) {
 		quoted, kind, _ := strings.Cut(strings.TrimSpace(row)[1:], "\" ")
 		line, err := strconv.Unquote("\"" + quoted + "\"")
 		require.NoError(t, err)
-		lines[line] = kind == "answer"
+		lines[line] = kind
 	}
 	return lines
 }
 
+func statusLines(t testing.TB) map[string]string {
+	t.Helper()
+	return quotedLines(t, "testdata/status_lines.txt")
+}
+
 // TestStatusLines guards against a response that isn't HTTP and counts as an answer, or is noticed only at the timeout.
 // Other operators reported a backend in trouble whose answers had the status 000.
 func TestStatusLines(t *testing.T) {
-	for line, valid := range statusLines(t) {
+	for line, kind := range statusLines(t) {
 		t.Run(strconv.Quote(line), func(t *testing.T) {
 			address, _ := startScriptedServer(t, func(c net.Conn, r *bufio.Reader, _ *atomic.Int32) {
 				if _, err := http.ReadRequest(r); err == nil {
@@ -46,7 +51,7 @@
 			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 			defer cancel()
 			response, err := newPool().Exchange(ctx, address, newRequest("a"))
-			if valid {
+			if kind == "answer" {
 				require.NoError(t, err)
 				return
 			}
--- a/encoder/frame.go
+++ b/encoder/frame.go
@@ -6,6 +6,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
+
+	"hibiscusline/carrier"
 )
 
 // MaxFrameBytes is the largest body of a frame that is written or read.
@@ -146,14 +148,18 @@
 	return m, nil
 }
 
-// decodeResponse returns an error for an answer whose status can't be passed on.
+// decodeResponse returns an error for an answer whose status or header can't be passed on.
 func decodeResponse(body []byte) (Message, error) {
 	m, err := decodeAs[Response](body)
 	if err != nil {
 		return nil, err
 	}
-	if r := m.(Response); r.Outcome == Answered && (r.Status < 200 || r.Status > 599) {
+	r := m.(Response)
+	if r.Outcome == Answered && (r.Status < 200 || r.Status > 599) {
 		return nil, errors.Errorf("decode encoder.Response: an answer with status %d", r.Status)
 	}
+	if err := carrier.CheckFieldNames(r.Header); err != nil {
+		return nil, errors.Wrap(err, "decode encoder.Response")
+	}
 	return m, nil
 }
--- a/encoder/frame_test.go
+++ b/encoder/frame_test.go
@@ -37,3 +37,16 @@
 	_, err := Read(&frame)
 	require.NoError(t, err)
 }
+
+// TestResponseFieldNames guards against an answer of another process, perhaps of an earlier version, in which the name of a
+// field holds a blank: the field may have been meant to delimit the body.
+func TestResponseFieldNames(t *testing.T) {
+	for name, valid := range map[string]bool{
+		"X-Y": true, "x_y~": true, "": false, "X Y": false, "Content-Length ": false, " X": false, "X\t": false, "X\x00": false, "X:": false,
+	} {
+		var frame bytes.Buffer
+		require.NoError(t, Write(&frame, Response{Outcome: Answered, Status: 200, Header: map[string][]string{name: {"1"}}}))
+		_, err := Read(&frame)
+		require.Equal(t, valid, err == nil, "name %q: %v", name, err)
+	}
+}
