carrier: refuse answers whose header has a folded line

Callers got an answer of a backend server in trouble although the name of a field in its head began with a blank (MIXED): the line ended up in the value of the field before it, for example in the signature that callers check.

Cause: a line that begins with a blank continues the one before (obs-fold). net/http joins the two and leaves no trace.

Change: carrier.Pool scans the bytes of each head for such a line, and takes the answer for malformed. HTTP/1.1 forbids servers to send one and lets a gateway answer 502 in its place. This holds for backend servers on the sidecar's path, for other processes and the store. The product's own path (dispatcher) reads by net/http's client, which hides the bytes: there the line becomes part of the value, the other treatment that HTTP/1.1 allows. TestFieldLines says so.

Why it works: the scan sees every byte from the beginning of a head to its empty line, also those that were read with the response before, and nothing of a body (indented bodies are delivered).

--- a/carrier/field_test.go
+++ b/carrier/field_test.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -26,7 +28,8 @@
 }
 
 // TestFieldLines guards against a response that counts as an answer although the name of a field holds a blank or a control
-// byte, or a line isn't a field.
+// byte, or a line isn't a field. A line that begins with a blank continues the line before, which no server may send; a field
+// with such a name can't be told from it.
 func TestFieldLines(t *testing.T) {
 	for framing, response := range fieldLineResponses {
 		for line, kind := range quotedLines(t, "testdata/field_lines.txt") {
@@ -59,3 +62,48 @@
 	require.ErrorAs(t, err, &failed)
 	require.True(t, failed.Sent, "the server may have run the request")
 }
+
+// TestFoldedLines guards against a folded line that is missed, or seen where there is none, because of where the head begins and
+// ends in what is read at once.
+func TestFoldedLines(t *testing.T) {
+	const interim = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+	const other = "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 4\r\n\r\n\r\n x"
+	const folded = "HTTP/1.1 200 OK\r\nId: a\r\nX: v\r\n v\r\nContent-Length: 2\r\n\r\nok"
+	const indented = "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\n\r\n x\r\n\ty\n z"
+	for name, tc := range map[string]struct {
+		response string
+		valid    bool
+	}{
+		"folded":                 {folded, false},
+		"folded after interim":   {interim + folded, false},
+		"folded after another":   {other + folded, false},
+		"folded interim":         {"HTTP/1.1 103 Early Hints\r\nLink: x\r\n y\r\n\r\n" + wholeResponse, false},
+		"line feeds only":        {strings.ReplaceAll(folded, "\r\n", "\n"), false},
+		"indented body":          {indented, true},
+		"indented after interim": {interim + indented, true},
+		"indented after another": {other + indented, true},
+		"indented, line feeds":   {"HTTP/1.1 200 OK\nId: a\nContent-Length: 2\n\n x", true},
+	} {
+		for _, step := range []int{1, len(tc.response)} {
+			t.Run(fmt.Sprintf("%s in steps of %d", name, step), func(t *testing.T) {
+				address, _ := startScriptedServer(t, func(c net.Conn, r *bufio.Reader, _ *atomic.Int32) {
+					defer c.Close()
+					if _, err := http.ReadRequest(r); err != nil {
+						return
+					}
+					for part := range slices.Chunk([]byte(tc.response), step) {
+						_, _ = c.Write(part) // The client may have closed the connection.
+					}
+				})
+				r, err := newPool().Exchange(t.Context(), address, newRequest("a"))
+				if !tc.valid {
+					require.ErrorIs(t, err, carrier.ErrMalformedResponse)
+					return
+				}
+				require.NoError(t, err)
+				require.True(t, strings.HasSuffix(tc.response, string(r.Body)))
+				require.NotEmpty(t, r.Body)
+			})
+		}
+	}
+}
--- a/carrier/pool.go
+++ b/carrier/pool.go
@@ -91,6 +91,7 @@
 	// stream reads and writes net.
 	stream  net.Conn
 	limited limitedReader
+	head    headReader
 	reader  *bufio.Reader
 	// used means that the connection has carried a request.
 	used bool
@@ -231,11 +232,19 @@
 	p.mu.Unlock()
 	stream := ReportAborts(nc)
 	c := &poolConn{net: nc, stream: stream, limited: limitedReader{source: stream}, expires: timer.Now() + p.config.IdleTimeout}
-	c.reader = bufio.NewReaderSize(&c.limited, readBuffer)
+	c.head.source = &c.limited
+	c.reader = bufio.NewReaderSize(&c.head, readBuffer)
 	p.track(to, c)
 	return c, nil
 }
 
+// beginHead prepares to read the head of a response.
+func (c *poolConn) beginHead() {
+	c.limited.remaining = maxResponseHeaderBytes
+	read, _ := c.reader.Peek(c.reader.Buffered()) // Buffered bytes can always be peeked at.
+	c.head.begin(read)
+}
+
 // putConn adds a connection to the idle ones, and closes those that have expired.
 func (p *Pool) putConn(to netip.AddrPort, c *poolConn) {
 	now := timer.Now()
@@ -329,7 +338,7 @@
 
 func (x *exchange) readResponse() (r *Response, reusable bool, err error) {
 	for range maxResponses {
-		x.conn.limited.remaining = maxResponseHeaderBytes
+		x.conn.beginHead()
 		if err := checkStatusLine(x.conn.reader); err != nil {
 			return nil, false, err
 		}
@@ -343,6 +352,9 @@
 		if err := CheckResponse(h); err != nil {
 			return nil, false, err
 		}
+		if x.conn.head.folded {
+			return nil, false, errors.Wrap(ErrMalformedResponse, "folded line in the header")
+		}
 		if h.StatusCode < 200 {
 			continue
 		}
