--- a/carrier/field_test.go
+++ b/carrier/field_test.go
@@ -107,3 +107,17 @@
 		}
 	}
 }
+
+// TestRequestFieldNames guards against a request that is passed on although the name of a field holds a blank: the server may
+// take the field for one that delimits the body, and the body for another request.
+func TestRequestFieldNames(t *testing.T) {
+	_, address := startServer(t, carrier.ServerConfig{Handle: echo})
+	for _, line := range []string{"X Y: v", "X : v", "Content-Length : 5", "Transfer-Encoding : chunked", "X\x01: v"} {
+		c := dial(t, address)
+		_, err := fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: h\r\n%s\r\n\r\n", line)
+		require.NoError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(c), nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusBadRequest, response.StatusCode, "%q", line)
+	}
+}
