carrier: explain what wraps a connection, and keep the reading of a head in one place

Cause: read as a newcomer, the comment of ReportAborts named the socket twice, and dispatcher.dial said nothing of its purpose. Change: comments; beginHead stands beside readResponse, connectTimeout beside the other constants. No change of behaviour.

--- a/carrier/abort.go
+++ b/carrier/abort.go
@@ -18,10 +18,10 @@
 	aborted error
 }
 
-// ReportAborts returns a connection that is read while another goroutine writes to it. The kernel reports a reset or a
-// timeout of a connection once: if a write is told, the next read of the kernel's socket returns io.EOF, as if the other end
-// had closed the connection in order, and a body that its end delimits would seem complete. Read of the returned connection
-// reports the error of the write in place of io.EOF. It ends a write that is in progress at io.EOF.
+// ReportAborts wraps a connection that one goroutine reads while another writes. The kernel reports a reset or a timeout of a
+// connection once. If a write is told, the next read of the socket returns io.EOF, as if the other end had closed the connection
+// in order, and a body that ends with its connection would seem complete. Read of the wrapped connection returns the error of
+// the write instead. At io.EOF, it ends a write that is in progress.
 func ReportAborts(nc net.Conn) net.Conn { return &abortReporter{Conn: nc} }
 
 // Write writes, and keeps the error that aborted the connection.
--- a/carrier/pool.go
+++ b/carrier/pool.go
@@ -88,7 +88,7 @@
 // poolConn is one connection of a Pool.
 type poolConn struct {
 	net net.Conn
-	// stream reads and writes net.
+	// stream is net, whose reads also report an abort that a write learned of first.
 	stream  net.Conn
 	limited limitedReader
 	head    headReader
@@ -238,13 +238,6 @@
 	return c, nil
 }
 
-// beginHead prepares to read the head of a response.
-func (c *poolConn) beginHead() {
-	c.limited.remaining = maxResponseHeaderBytes
-	read, _ := c.reader.Peek(c.reader.Buffered()) // Buffered bytes can always be peeked at.
-	c.head.begin(read)
-}
-
 // putConn adds a connection to the idle ones, and closes those that have expired.
 func (p *Pool) putConn(to netip.AddrPort, c *poolConn) {
 	now := timer.Now()
@@ -376,6 +369,13 @@
 	return nil, false, errors.Wrap(ErrMalformedResponse, "too many responses that do not answer the request")
 }
 
+// beginHead prepares to read the head of a response.
+func (c *poolConn) beginHead() {
+	c.limited.remaining = maxResponseHeaderBytes
+	read, _ := c.reader.Peek(c.reader.Buffered()) // Buffered bytes can always be peeked at.
+	c.head.begin(read)
+}
+
 func (x *exchange) readBody(h *http.Response) ([]byte, error) {
 	x.conn.limited.remaining = 2*int64(x.pool.config.MaxBody) + readBuffer
 	body := make([]byte, 0, firstBodyBytes)
--- a/dispatcher/backend.go
+++ b/dispatcher/backend.go
@@ -28,6 +28,9 @@
 	HeaderParent   = "Hibiscus-Parent"
 )
 
+// connectTimeout bounds the time to open a connection.
+const connectTimeout = time.Second
+
 // crashProbeTimeout bounds each connection attempt that distinguishes a crashed server from a broken connection.
 const crashProbeTimeout = 250 * time.Millisecond
 
@@ -78,8 +81,7 @@
 	return limit
 }
 
-const connectTimeout = time.Second
-
+// dial opens a connection whose reads also report an abort that a write learned of first.
 func dial(ctx context.Context, network, address string) (net.Conn, error) {
 	c, err := (&net.Dialer{Timeout: connectTimeout}).DialContext(ctx, network, address)
 	if err != nil {
