transporter: no longer undo, in a test, the deadline with which quic-go ends its reads

It asked whether the socket was closed by SetDeadline(time.Time{}), each millisecond. quic-go's Transport.Close sets the read deadline to end its reads and waits for them; if the test cleared it in between, the reads and so Close and the test never ended. The stacks of all five hangs show this wait. The test was wrong, not the product, which sets no deadline on that socket. Change: the test asks by SetWriteDeadline, which fails on a closed socket just the same and which quic-go doesn't use there.

--- a/transporter/silence_test.go
+++ b/transporter/silence_test.go
@@ -105,7 +105,8 @@
 	require.NoError(t, replacement.connection.CloseWithError(0, "test"))
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
-	for replacement.own.Conn.SetDeadline(time.Time{}) == nil {
+	// A change of the read deadline would undo the one with which quic-go ends its reads.
+	for replacement.own.Conn.SetWriteDeadline(time.Time{}) == nil {
 		require.NoError(t, ctx.Err(), "the socket is open")
 		time.Sleep(time.Millisecond)
 	}
