sidecar: take a heartbeat's word for its own server only

Cause: platform.DecodeHeartbeat asked for five of the fields that every heartbeat has, so such a body counted as one of a server. Its later start then was enough for sidecar.handleHeartbeat to end the known server, for granter.observeHeartbeat to take its grants for expired and for the planners, who read that in the record, to give its keys away. Any heartbeat under another id had the same effect, also a whole one.

Change: a heartbeat with a field missing or of another type gets 400 with the name of the field, and so does one without the lists of keys for a service whose servers are granted keys by heartbeat. A heartbeat of an unknown id makes the process ask the address by a health check. Its answer decides: accepted, or 409. Without an answer the server is accepted if nothing can hold keys under the earlier one, else it gets 503 until the grants have expired or the address refuses connections. A server that starts again under its id is believed. One check costs one connection and one probe for each start of a server.

TestReportOfOtherWriterFreesNoKeys failed before in all four forms; TestReplacedServer: keys served 0.7 s after a replacement before and after, 4.8 s if nothing identifies the server. TestBadHeartbeats is part of TestHeartbeatWithHoles now, where each body is whole but for one field; the case of a server that doesn't say how long it is cold can't arise any more and is replaced by one that says so.

--- a/sidecar/cold.go
+++ b/sidecar/cold.go
@@ -56,9 +56,7 @@
 		return
 	}
 	a.server.cold.silent = false
-	if h.ColdKnown {
-		a.server.cold.Observe(now, h.Sequence, h.ColdFor, s.ColdTime)
-	}
+	a.server.cold.Observe(now, h.Sequence, h.ColdFor, s.ColdTime)
 	a.logCold(now)
 }
 
@@ -124,7 +122,7 @@
 	}
 	switch c := a.server.cold; {
 	case c.Source() != limiter.NoSource:
-	case c.early.ColdKnown:
+	case c.earlyAt != 0:
 		a.observeCold(c.earlyAt, c.early)
 	default:
 		a.assumeCold(timer.Now(), a.server.service, limiter.NewProcess)
--- a/sidecar/heartbeat.go
+++ b/sidecar/heartbeat.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"hibiscusline/assigner"
 	"hibiscusline/granter"
 	"hibiscusline/limiter"
@@ -29,12 +31,19 @@
 		err = errWrongAddress
 	case !a.knownService(h.Service):
 		err = errUnknownService
+	case !h.ListsKeys && a.grantsByHeartbeat(h.Service):
+		err = errNoKeyLists
 	}
 	if err != nil {
 		_ = a.logger.Log("event", "heartbeat_rejected", "instance", id, "error", err)
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if err := a.checkReplacement(r.Context(), h); err != nil {
+		_ = a.logger.Log("event", "heartbeat_refused", "instance", id, "born", h.Incarnation.Born, "error", err)
+		refuseHeartbeat(w, err)
+		return
+	}
 	a.awaitIncomingSlices(r.Context(), h)
 	response, current := a.handleHeartbeat(received, h)
 	if !current {
@@ -55,6 +64,19 @@
 	_, _ = w.Write(body) // If the response is lost, the server sends its next heartbeat.
 }
 
+// refuseHeartbeat tells a server why it can't take the place of another one, at present or at all.
+func refuseHeartbeat(w http.ResponseWriter, err error) {
+	if errors.Is(err, errKeysHeld) {
+		w.Header().Set("Retry-After", heartbeatRetryAfter)
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	http.Error(w, err.Error(), http.StatusConflict)
+}
+
+// heartbeatRetryAfter is when a server whose heartbeat was refused may send the next one, in seconds.
+const heartbeatRetryAfter = "0.5"
+
 // knownService reports whether a service is that of this sidecar or in the configuration. Without a configuration, any
 // may be.
 func (a *Sidecar) knownService(name string) bool {
@@ -66,6 +88,13 @@
 	return configured
 }
 
+// grantsByHeartbeat reports whether the servers of a service are granted keys in the responses to their heartbeats, which then
+// list the keys that they hold.
+func (a *Sidecar) grantsByHeartbeat(service string) bool {
+	return a.settings.Grants != loader.GrantsByRequest &&
+		(a.serviceOf(service).Keyed || a.registrar.View().Tables[service] != nil)
+}
+
 // maxHeartbeatDelay is how long the response to a heartbeat may be delayed while keys move to the server. The server
 // waits one second for a response.
 const maxHeartbeatDelay = 650 * time.Millisecond
--- a/sidecar/publish.go
+++ b/sidecar/publish.go
@@ -18,6 +18,7 @@
 var (
 	errWrongAddress   = errors.New("heartbeat: the address isn't that of the server beside the process")
 	errUnknownService = errors.New("heartbeat: the service is not configured")
+	errNoKeyLists     = errors.New("heartbeat: holds and freed are missing, which servers of this service send")
 )
 
 // confirmGrants enables grants once the store holds a record of this sidecar that names the server's current
--- a/sidecar/server.go
+++ b/sidecar/server.go
@@ -163,7 +163,7 @@
 	if err != nil {
 		return
 	}
-	incarnation, err := platform.DecodeIncarnation(r.PathValue("id"), data)
+	incarnation, err := platform.DecodeDeregistration(r.PathValue("id"), data)
 	if err != nil {
 		_ = a.logger.Log("event", "deregistration_rejected", "instance", r.PathValue("id"), "error", err)
 		http.Error(w, err.Error(), http.StatusBadRequest)
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -95,6 +95,8 @@
 	stock, orders int
 	// zones is the number of availability zones, to which the nodes belong in turn. Zero means one.
 	zones int
+	// hidesIDs means that the servers' responses to health checks don't state their ids.
+	hidesIDs bool
 	// adjust, if it isn't nil, changes the cluster before its sidecars get their settings.
 	adjust func(*cluster)
 }
@@ -121,6 +123,7 @@
 		n.settings.Grants = c.form
 		n.settings.Zone = fmt.Sprintf("zone-%c", 'a'+i%max(c.zones, 1))
 		n.config.Zone = n.settings.Zone
+		n.config.HidesID = c.hidesIDs
 		if s.proxyStore != nil {
 			n.settings.Store = s.proxyStore(n)
 		}
