sidecar: use no server after a start while a leaving of it may be unknown

Cause: the silence of members that are gone counted as the answer that there is no leaving. The side that keeps a leaving chose from another list.

Change: excludesLeaving is the one place that decides, for records and heartbeats: no record of an earlier process, enough others that have run since it used the server, or a health check that the server answers with 200, as it does only while it isn't leaving. Until then it gets neither requests nor grants; without any answer, heartbeats that say ready count 3 s after the others were asked. More members are asked until five have answered, those that stopped as planned last; keeping a leaving goes on until two have it. Sync requests and answers carry the leavings that the store lacks, a process that starts gets back those that it kept for others, and whoever knows one writes it to the store if the process beside the server doesn't.

Why it works: those that are present are found however many are gone, and not having heard is no longer a reason to use the server.

keepersOf in leaving_test.go counts those that were asked to keep a leaving, by a new line: with the leavings in sync requests, others know it too. It still requires the same number. The repeated check of moving keys has become one function, unchanged.

--- a/executor/identify.go
+++ b/executor/identify.go
@@ -9,11 +9,17 @@
 	"hibiscusline/platform"
 )
 
-// Identify asks the server at the address which instance it is, by a health check at a path. It reports false if there is no
-// path or no response that says so.
-func (g *Executor) Identify(ctx context.Context, path string, timeout time.Duration) (instance string, found bool) {
+// Identity is the answer of the server to a health check. It is zero if no answer states the instance.
+type Identity struct {
+	Instance string
+	Health   platform.Health
+}
+
+// Identify asks the server at the address which instance it is, and how it is, by a health check at a path. An empty path means
+// that there is none.
+func (g *Executor) Identify(ctx context.Context, path string, timeout time.Duration) Identity {
 	if path == "" {
-		return "", false
+		return Identity{}
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -22,7 +28,11 @@
 		Method: http.MethodGet, Target: path, Host: g.config.Backend.String(), Header: http.Header{}, NewConn: true,
 	})
 	if err != nil {
-		return "", false
+		return Identity{}
+	}
+	instance, found := platform.DecodeInstance(r.Header)
+	if !found {
+		return Identity{}
 	}
-	return platform.DecodeInstance(r.Header)
+	return Identity{Instance: instance, Health: platform.DecodeHealth(r.Status, r.Header)}
 }
--- a/registrar/leaving.go
+++ b/registrar/leaving.go
@@ -77,6 +77,9 @@
 	return list
 }
 
+// UnrecordedLeavings returns the remembered leavings that the stored records of their members lack.
+func (v *View) UnrecordedLeavings() []Leaving { return slices.Clone(v.unrecorded) }
+
 // HasLeft reports whether a server has announced that its incarnation shuts down, according to the records or to the
 // remembered leavings.
 func (v *View) HasLeft(member string, incarnation assigner.Incarnation) bool {
@@ -109,6 +112,10 @@
 		m, found := v.stored[l.Member]
 		return found && m.Incarnation.Born > l.Incarnation.Born
 	})
+	v.unrecorded = slices.DeleteFunc(slices.Clone(v.leavings), func(l Leaving) bool {
+		_, found := v.stored[l.Member]
+		return !found || v.RecordedLeaving(l.Member, l.Incarnation)
+	})
 	v.Members = make(map[string]Member, len(v.stored))
 	for name, m := range v.stored {
 		if m.State == Ready && v.HasLeft(name, m.Incarnation) {
--- a/registrar/leaving_test.go
+++ b/registrar/leaving_test.go
@@ -65,3 +65,21 @@
 	_, err = registrar.DecodeLeavings([]byte("junk"))
 	require.Error(t, err)
 }
+
+// TestUnrecordedLeavings guards against a leaving that nobody else is told although the store lacks it, and against one that is
+// told for ever.
+func TestUnrecordedLeavings(t *testing.T) {
+	l := registrar.Leaving{Member: "a", Incarnation: assigner.Incarnation{Instance: "i-a", Born: 5}}
+	r := registrar.New()
+	r.AddLeavings([]registrar.Leaving{l, {Member: "elsewhere", Incarnation: l.Incarnation}})
+	require.Empty(t, r.View().UnrecordedLeavings(), "no record says that these servers may be used")
+	require.NoError(t, r.Apply([]registrar.Entry{memberEntry(t, "a", 1, 0)}, 1))
+	require.Equal(t, []registrar.Leaving{l}, r.View().UnrecordedLeavings())
+	stored, found := r.View().StoredMember("a")
+	require.True(t, found)
+	stored.State = registrar.Draining
+	data, err := stored.Encode()
+	require.NoError(t, err)
+	require.NoError(t, r.Apply([]registrar.Entry{{Key: registrar.MemberKey("a"), Offset: 1, Value: data}}, 2))
+	require.Empty(t, r.View().UnrecordedLeavings())
+}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -55,6 +55,8 @@
 	// stored holds the member records by name as the store has them, and leavings what it may not know of them.
 	stored   map[string]Member
 	leavings []Leaving
+	// unrecorded holds those of the leavings that the stored records lack.
+	unrecorded []Leaving
 	// offsets holds the offset of each record by key.
 	offsets map[string]uint64
 	// mark is the record with EraKey, or zero if there is none.
--- a/sidecar/heartbeat.go
+++ b/sidecar/heartbeat.go
@@ -131,14 +131,15 @@
 		if s.incarnation != (assigner.Incarnation{}) {
 			_ = a.logger.Log("event", "server_started", "instance", h.Incarnation.Instance, "born", h.Incarnation.Born, "before", s.incarnation.Instance)
 		}
-		*s = serverState{incarnation: h.Incarnation, lastHeartbeat: now, service: h.Service}
+		// An earlier process can't have known the successor of a server that this one has used.
+		unconfirmed := s.unconfirmed || s.incarnation == (assigner.Incarnation{})
+		*s = serverState{incarnation: h.Incarnation, lastHeartbeat: now, service: h.Service, unconfirmed: unconfirmed}
 		a.assumeCold(now, h.Service, limiter.NewServer)
 		a.granter.Revoke()
 	}
-	if s.unconfirmed && h.Incarnation == s.incarnation {
-		s.unconfirmed = false
-		a.confirmGrants()
-	}
+	// An earlier process may have acknowledged the drain at an unknown time.
+	drainOver := h.Draining && unheard && !a.excludesLeaving(h.Incarnation)
+	a.believeHeartbeat(now, h)
 	response, current := a.granter.Heartbeat(now, h.Heartbeat)
 	if !current {
 		return response, false
@@ -146,8 +147,7 @@
 	s.lastHeartbeat, s.service, s.slots = now, h.Service, h.Slots
 	a.observeCold(now, h)
 	a.logGrants(now, h, response)
-	// An earlier process may have acknowledged the drain at an unknown time.
-	s.drainOver = s.drainOver || h.Draining && unheard && !a.knowsLeavings(h.Incarnation)
+	s.drainOver = s.drainOver || drainOver
 	if h.Draining || s.drainingSince != 0 {
 		a.startDraining(now)
 	} else {
--- a/sidecar/leaving.go
+++ b/sidecar/leaving.go
@@ -2,15 +2,10 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"net/http"
-	"net/netip"
 	"net/url"
-	"slices"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"hibiscusline/assigner"
 	"hibiscusline/carrier"
 	"hibiscusline/registrar"
@@ -25,13 +20,11 @@
 	// leavingStoreWait is how long an acknowledgement waits for the store before other sidecars are asked to keep the
 	// leaving. The server waits one second for the acknowledgement.
 	leavingStoreWait = 400 * time.Millisecond
-	// leavingTimeout bounds one exchange of leavings with another sidecar.
-	leavingTimeout = 300 * time.Millisecond
 	// leavingReplicas is the number of sidecars that are asked to keep a leaving, and minLeavingReplicas that of those
 	// that must have it, if there are as many.
 	leavingReplicas    = 5
 	minLeavingReplicas = 2
-	// leavingSources is the number of sidecars that are asked for leavings after a start. It exceeds leavingReplicas,
+	// leavingSources is the number of sidecars that are asked first for leavings after a start. It exceeds leavingReplicas,
 	// since members may have joined or been unreachable meanwhile.
 	leavingSources = 8
 )
@@ -66,116 +59,99 @@
 	if err != nil {
 		return false
 	}
-	replicas := a.leavingPeers(leavingReplicas, func(m registrar.Member) bool {
-		return !m.Stopping && a.peers.DownFor(m.Peer) == 0
+	asked, count := 0, 0
+	peers := a.leavingPeers(func(m registrar.Member) bool { return !m.Stopping && a.peers.DownFor(m.Peer) == 0 })
+	a.exchangeInRounds(ctx, leavingRounds{members: peers, first: leavingReplicas, body: body}, func(_ registrar.Member, r *carrier.Response) bool {
+		asked++
+		if r != nil {
+			count++
+		}
+		return count >= minLeavingReplicas
 	})
-	count := a.exchangeLeavings(ctx, replicas, body, func(*carrier.Response) error { return nil })
-	_ = a.logger.Log("event", "leaving_replicated", "instance", l.Incarnation.Instance, "asked", len(replicas), "have", count)
+	_ = a.logger.Log("event", "leaving_replicated", "instance", l.Incarnation.Instance, "asked", asked, "have", count)
 	return count > 0 && count >= min(minLeavingReplicas, len(a.registrar.View().Members)-1)
 }
 
 // fetchLeavings asks other sidecars for the leavings of the server that an earlier process of this name acknowledged.
-// Until then the server gets no requests.
+// Until then the server gets no requests. It asks more of them until enough have answered, since those asked first may be gone.
 func (a *Sidecar) fetchLeavings() {
-	sources := a.leavingPeers(leavingSources, func(registrar.Member) bool { return true })
-	var list []registrar.Leaving
-	reporters := map[assigner.Incarnation]int{}
-	answers := a.exchangeLeavings(context.Background(), sources, nil, func(r *carrier.Response) error {
-		fetched, err := registrar.DecodeLeavings(r.Body)
-		if err != nil {
-			return err
-		}
-		list = append(list, fetched...)
-		if text, err := url.QueryUnescape(r.Header.Get(readyField)); err == nil {
-			if incarnation, found := decodeIncarnation(text); found {
-				reporters[incarnation]++
-			}
-		}
-		return nil
-	})
-	_ = a.logger.Log("event", "leavings_fetched", "asked", len(sources), "answers", answers, "leavings", len(list))
-	a.addLeavings(list, "sidecars")
+	var f leavingAnswers
+	peers := a.leavingPeers(func(registrar.Member) bool { return true })
+	a.exchangeInRounds(context.Background(), leavingRounds{members: peers, first: leavingSources}, f.add)
+	_ = a.logger.Log("event", "leavings_fetched", "asked", f.asked, "answers", f.answers, "sources", f.sources, "leavings", len(f.leavings))
+	a.addLeavings(f.leavings, "sidecars")
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.leavingsKnown, a.leavingSources, a.reporters = true, len(sources), reporters
+	a.leavingsKnown, a.leavingSources, a.reporters = true, f.sources, f.reporters
+	a.doubtUntil = timer.Now() + doubtTime
 	a.resumeServer()
+	a.confirmServer(false)
 	a.updateExecutor()
 	wake(a.publishWake)
+	wake(a.doubtWake)
 }
 
-// leavingPeers returns the addresses of up to a number of other sidecars. The order depends on their names and that of
-// this one only, so that a process finds those that its predecessor asked.
-func (a *Sidecar) leavingPeers(limit int, usable func(registrar.Member) bool) []netip.AddrPort {
-	weight := func(m registrar.Member) uint64 {
-		h := fnv.New64a()
-		_, _ = h.Write([]byte(a.settings.Name + "\x00" + m.Name)) // It never returns an error.
-		return h.Sum64()
-	}
-	var members []registrar.Member
-	for name, m := range a.registrar.View().Members {
-		if name != a.settings.Name && usable(m) {
-			members = append(members, m)
-		}
+// leavingAnswers collects the answers to the question for leavings.
+type leavingAnswers struct {
+	asked, answers int
+	// sources is the number of sidecars that may have kept a leaving: those that answered, and those that didn't although they
+	// haven't stopped as planned.
+	sources   int
+	leavings  []registrar.Leaving
+	reporters map[assigner.Incarnation]int
+}
+
+// add adds the answer of a member, or nil, and reports whether there are enough answers.
+func (f *leavingAnswers) add(m registrar.Member, r *carrier.Response) bool {
+	f.asked++
+	// One that stops as planned tells its leavings to others before.
+	if r != nil || !m.Stopping {
+		f.sources++
 	}
-	slices.SortFunc(members, func(x, y registrar.Member) int {
-		if weight(x) < weight(y) {
-			return -1
-		}
-		return 1
-	})
-	var list []netip.AddrPort
-	for _, m := range members[:min(limit, len(members))] {
-		list = append(list, m.Peer)
+	if r != nil {
+		f.addResponse(r)
 	}
-	return list
+	return f.answers >= leavingReplicas
 }
 
-// exchangeLeavings sends leavings, if there are any, to other sidecars at once or asks them for those of this one. It
-// passes their responses to read, one at a time, and returns the number of those that it accepts.
-func (a *Sidecar) exchangeLeavings(
-	ctx context.Context, peers []netip.AddrPort, body []byte, read func(*carrier.Response) error,
-) int {
-	bound := a.promises.acknowledgement.Bound(leavingTimeout)
-	results := make(chan *carrier.Response, len(peers))
-	method := http.MethodGet
-	if body != nil {
-		method = http.MethodPost
-	}
-	for _, peer := range peers {
-		go func() {
-			r, err := a.peers.ExchangeUntracked(ctx, peer, bound, &carrier.Request{
-				Method: method, Target: leavingsPath + "?" + url.Values{"member": {a.settings.Name}}.Encode(),
-				Host: peer.String(), Header: http.Header{}, Body: body,
-			})
-			if err == nil && r.Status != http.StatusOK {
-				err = errors.Errorf("status %d", r.Status)
-			}
-			if err != nil {
-				_ = a.logger.Log("event", "leavings_failed", "peer", peer, "error", err)
-				r = nil
-			}
-			results <- r
-		}()
-	}
-	count := 0
-	for range peers {
-		if r := <-results; r != nil && read(r) == nil {
-			count++
+func (f *leavingAnswers) addResponse(r *carrier.Response) {
+	list, err := registrar.DecodeLeavings(r.Body)
+	if err != nil {
+		return
+	}
+	f.answers++
+	f.leavings = append(f.leavings, list...)
+	text, err := url.QueryUnescape(r.Header.Get(readyField))
+	if err != nil {
+		return
+	}
+	if incarnation, found := decodeIncarnation(text); found {
+		if f.reporters == nil {
+			f.reporters = map[assigner.Incarnation]int{}
 		}
+		f.reporters[incarnation]++
 	}
-	return count
 }
 
-// serveLeavings keeps leavings of another sidecar's server, or returns those that this one keeps.
+// serveLeavings keeps leavings of another sidecar's server, or returns those that this one keeps, and those of others that the
+// store lacks: the sidecar that asks may have kept them before it was started again.
 func (a *Sidecar) serveLeavings(q *carrier.Request, member string) *carrier.Response {
 	if q.Method == http.MethodPost {
 		list, err := registrar.DecodeLeavings(q.Body)
 		if err != nil {
 			return carrier.NewResponse(http.StatusBadRequest, err.Error())
 		}
+		_ = a.logger.Log("event", "leavings_kept", "member", member, "leavings", len(list))
 		a.addLeavings(list, member)
 	}
-	data, err := registrar.EncodeLeavings(a.registrar.View().LeavingsOf(member))
+	v := a.registrar.View()
+	list := v.LeavingsOf(member)
+	for _, l := range v.UnrecordedLeavings() {
+		if l.Member != member {
+			list = append(list, l)
+		}
+	}
+	data, err := registrar.EncodeLeavings(list)
 	if err != nil {
 		return carrier.NewResponse(http.StatusInternalServerError, err.Error())
 	}
@@ -203,16 +179,5 @@
 	a.updates.send()
 	wake(a.planWake)
 	wake(a.publishWake)
-}
-
-// endUseOfLeftServer starts the drain of a server whose leaving another process acknowledged. When that was is unknown,
-// so the drain time counts as over. The caller holds mu.
-func (a *Sidecar) endUseOfLeftServer() {
-	s := &a.server
-	if s.state != registrar.Ready || !a.registrar.View().HasLeft(a.settings.Name, s.incarnation) {
-		return
-	}
-	s.drainOver = true
-	a.startDraining(timer.Now())
-	a.updateExecutor()
+	wake(a.leavingWake)
 }
--- a/sidecar/leaving_test.go
+++ b/sidecar/leaving_test.go
@@ -116,11 +116,11 @@
 // leavingReplicas is the number of other processes that keep a leaving, if there are as many.
 const leavingReplicas = 5
 
-// keepersOf returns the nodes whose processes know of the leaving of a node's server.
+// keepersOf returns a node and those whose processes it has asked to keep the leaving of its server.
 func (s *cluster) keepersOf(left *node) []*node {
 	var list []*node
 	for _, n := range s.nodes {
-		if s.logged("process="+n.settings.Name+" ", "event=leaving_known member="+left.settings.Name+" ") {
+		if n == left || s.logged("process="+n.settings.Name+" ", "event=leavings_kept member="+left.settings.Name+" ") {
 			list = append(list, n)
 		}
 	}
@@ -159,6 +159,20 @@
 // reportTime is how long the processes of a small cluster take to report their servers to each other.
 const reportTime = 4 * time.Second
 
+// requireKeysMove waits until other servers have all keys, and requires that the server of a node runs no request meanwhile.
+func (s *cluster) requireKeysMove(left *node) {
+	s.t.Helper()
+	s.await("other servers have all keys", func() bool {
+		served := true
+		for key := 0; key < 1<<16; key += keyStep {
+			r := s.send(left, http.MethodGet, "/stock/x", key)
+			require.NotContains(s.t, s.judge.Runs(r.ID), left.config.ID)
+			served = served && r.Status == http.StatusOK
+		}
+		return served
+	})
+}
+
 // TestDrainTimeOutlivesAllProcesses guards against requests for keys that reach a draining server because every process that
 // knew when its drain began was started again.
 func TestDrainTimeOutlivesAllProcesses(t *testing.T) {
@@ -174,15 +188,7 @@
 	time.Sleep(left.settings.Bounds.Drain)
 	s.restart(s.keepersOf(left))
 	s.store.SetDown(false)
-	s.await("the other server has all keys", func() bool {
-		served := true
-		for key := 0; key < 1<<16; key += keyStep {
-			r := s.send(left, http.MethodGet, "/stock/x", key)
-			require.NotContains(t, s.judge.Runs(r.ID), left.config.ID)
-			served = served && r.Status == http.StatusOK
-		}
-		return served
-	})
+	s.requireKeysMove(left)
 }
 
 // TestServedAfterRestart guards against a restart after which the server gets no requests until its next heartbeat, although
@@ -255,13 +261,5 @@
 	left.stopSidecar()
 	s.startSidecar(left)
 	s.store.SetDown(false)
-	s.await("the other server has all keys", func() bool {
-		served := true
-		for key := 0; key < 1<<16; key += keyStep {
-			r := s.send(left, http.MethodGet, "/stock/x", key)
-			require.NotContains(t, s.judge.Runs(r.ID), left.config.ID)
-			served = served && r.Status == http.StatusOK
-		}
-		return served
-	})
+	s.requireKeysMove(left)
 }
--- a/sidecar/replacement.go
+++ b/sidecar/replacement.go
@@ -35,13 +35,15 @@
 	case h.Incarnation.Born < known.Born:
 		return nil
 	}
-	instance, found := a.executor.Identify(ctx, a.serviceOf(h.Service).HealthPath, identifyTimeout)
-	_ = a.logger.Log("event", "server_identified", "instance", h.Incarnation.Instance, "known", known.Instance, "responds", instance,
-		"found", found)
+	start := timer.Now()
+	identity := a.executor.Identify(ctx, a.serviceOf(h.Service).HealthPath, identifyTimeout)
+	_ = a.logger.Log("event", "server_identified", "instance", h.Incarnation.Instance, "known", known.Instance,
+		"responds", identity.Instance, "health", identity.Health, "ms", (timer.Now() - start).Milliseconds())
 	switch {
-	case found && instance == h.Incarnation.Instance:
+	case identity.Instance == h.Incarnation.Instance:
+		a.observeHealth(h.Incarnation, identity)
 		return nil
-	case found:
+	case identity.Instance != "":
 		return errOtherServer
 	case known == (assigner.Incarnation{}), state == registrar.Ended, !a.mayHoldKeys():
 		return nil
--- a/sidecar/reports.go
+++ b/sidecar/reports.go
@@ -37,8 +37,9 @@
 // reportToSources synchronizes with the sidecars that the next process of this name will ask for leavings, since some of
 // them may have started too recently to have got a report.
 func (a *Sidecar) reportToSources() {
-	for _, peer := range a.leavingPeers(leavingSources, func(m registrar.Member) bool { return a.peers.DownFor(m.Peer) == 0 }) {
-		go a.refresh(peer)
+	reachable := a.leavingPeers(func(m registrar.Member) bool { return !m.Stopping && a.peers.DownFor(m.Peer) == 0 })
+	for _, m := range reachable[:min(leavingSources, len(reachable))] {
+		go a.refresh(m.Peer)
 	}
 }
 
@@ -71,19 +72,6 @@
 	return ""
 }
 
-// knowsLeavings reports whether a leaving of an incarnation that an earlier process of this name acknowledged would be
-// known, even if the store doesn't have it: of those that kept the leaving, at least one has run since. The caller holds mu.
-func (a *Sidecar) knowsLeavings(incarnation assigner.Incarnation) bool {
-	if a.leavingSources == 0 {
-		// A process that is the only member acknowledges only what the store has.
-		members := a.registrar.View().Members
-		_, known := members[a.settings.Name]
-		return a.leavingsKnown && known && len(members) == 1
-	}
-	unsure := a.leavingSources - a.reporters[incarnation]
-	return unsure < min(minLeavingReplicas, a.leavingSources)
-}
-
 func encodeIncarnation(i assigner.Incarnation) string {
 	return strconv.FormatInt(i.Born, 10) + incarnationSeparator + i.Instance
 }
--- a/sidecar/server.go
+++ b/sidecar/server.go
@@ -26,8 +26,8 @@
 	drainingSince time.Duration
 	// drainOver means that an earlier process acknowledged the drain, at an unknown time.
 	drainOver bool
-	// unconfirmed means that the state is that of the record in the store, and that a leaving since then may have been
-	// forgotten. The server gets no requests until its next heartbeat.
+	// unconfirmed means that an earlier process may have acknowledged a leaving that this one doesn't know. The server gets
+	// neither requests nor grants.
 	unconfirmed bool
 	// renewed and grantCount describe the last response to a heartbeat: whether it renewed the server's grants, and the
 	// number of grants in it.
@@ -96,11 +96,12 @@
 		return
 	}
 	a.resumed = true
-	confirmed := a.knowsLeavings(p.Incarnation)
+	confirmed := a.excludesLeaving(p.Incarnation)
 	_ = a.logger.Log("event", "server_resumed", "instance", p.Incarnation.Instance, "state", p.State, "epoch", p.Epoch,
 		"confirmed", confirmed, "heard", heard)
 	a.granter.Resume(p.Incarnation)
 	if heard {
+		a.confirmServer(false)
 		return
 	}
 	a.server = serverState{
@@ -110,6 +111,7 @@
 	a.setServerState(registrar.Ready)
 	a.endUseOfLeftServer()
 	a.updateExecutor()
+	wake(a.doubtWake)
 }
 
 func (a *Sidecar) setServerState(state registrar.ServerState) {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -133,10 +133,16 @@
 	// leavingsAsked means that other sidecars were asked for the leavings that an earlier process of this name
 	// acknowledged, and leavingsKnown that they have answered or had the time to.
 	leavingsAsked, leavingsKnown bool
-	// leavingSources is the number of sidecars that were asked for leavings, and reporters, by the server that an earlier
-	// process of this name has reported to them since their start, that of those that answered.
+	// leavingSources is the number of sidecars that were asked for leavings and may have kept one, and reporters, by the server
+	// that an earlier process of this name has reported to them since their start, that of those that answered.
 	leavingSources int
 	reporters      map[assigner.Incarnation]int
+	// notLeaving is the incarnation whose server has said since the start of this process that it doesn't leave. doubtUntil is
+	// the time from which heartbeats say so too.
+	notLeaving assigner.Incarnation
+	doubtUntil time.Duration
+	// doubtWake signals that the server is unconfirmed, and leavingWake that another sidecar's server has left.
+	doubtWake, leavingWake chan struct{}
 	// reported holds the servers that other sidecars have reported to this process, by member.
 	reported map[string]assigner.Incarnation
 	// replicated is the leaving that other sidecars keep, or nil.
@@ -170,6 +176,7 @@
 		reporters: map[assigner.Incarnation]int{}, reported: map[string]assigner.Incarnation{},
 		suspectedSince: map[suspicionKey]time.Duration{}, planWake: make(chan struct{}, 1),
 		publishWake: make(chan struct{}, 1), callWake: make(chan struct{}, 1),
+		doubtWake: make(chan struct{}, 1), leavingWake: make(chan struct{}, 1),
 		newerConfig: make(chan struct{}, 1), documentWake: make(chan struct{}, 1),
 		configurationAge: confirmer.New(timer.Now(), bounds.Configuration), evacuations: evacuator.New(),
 	}
@@ -325,6 +332,7 @@
 func (a *Sidecar) loops() []func(context.Context) {
 	loops := []func(context.Context){
 		a.followRecords, a.followConfiguration, a.fetchDocuments, a.publishOwn, a.planLoop, a.gossip, a.watchServer, a.followSettings,
+		a.settleDoubt, a.recordLeavings,
 	}
 	if a.settings.Grants == loader.GrantsByRequest {
 		loops = append(loops, a.callServer)
--- a/sidecar/sync.go
+++ b/sidecar/sync.go
@@ -123,6 +123,7 @@
 	header := http.Header{}
 	a.addSuspects(header)
 	a.addEvacuations(header)
+	a.addUnrecordedLeavings(header)
 	r, err := a.peers.ExchangeUntracked(ctx, p.peer, p.bound, &carrier.Request{
 		Method: http.MethodGet, Target: syncPath + "?" + query.Encode(), Host: p.peer.String(), Header: header,
 		OnProgress: p.onProgress,
@@ -131,6 +132,7 @@
 		return -1, err
 	}
 	a.observeSuspects(r.Header)
+	a.observeLeavings(r.Header, p.peer.String())
 	var n syncResponse
 	if err := cbor.Unmarshal(r.Body, &n); err != nil {
 		return -1, errors.Wrap(err, "decode sync response")
@@ -259,6 +261,7 @@
 	}
 	a.observeReport(query)
 	a.observeSuspects(q.Header)
+	a.observeLeavings(q.Header, peer.String())
 	// Earlier releases know no eras.
 	era, err := strconv.ParseUint(query.Get("era"), 10, 64)
 	if err != nil {
@@ -388,6 +391,7 @@
 		header.Set(eraField, strconv.FormatUint(v.Era, 10))
 	}
 	a.addSuspects(header)
+	a.addUnrecordedLeavings(header)
 	if c := a.current.Load(); c != nil {
 		if age, confirmed := a.configurationAge.Confirmed(now); confirmed && !a.configurationUnreadable.Load() {
 			header.Set(ageField, strconv.FormatInt(age.Microseconds(), 10))
