--- a/sidecar/replaced_test.go
+++ b/sidecar/replaced_test.go
@@ -83,6 +83,10 @@
 			s.restart(s.keepersOf(left))
 			s.store.SetDown(false)
 		}},
+		{name: "all_started_again", orders: 3, restart: func(s *cluster, left *node) {
+			s.restart(s.nodes)
+			s.store.SetDown(false)
+		}},
 		{name: "store_back_before_the_start", orders: 3, gone: true, planned: true, restart: func(s *cluster, left *node) {
 			left.stopSidecar()
 			s.store.SetDown(false)
