sidecar: ask an unconfirmed server at once, and bound the leavings in a header

Cause, by reading: a health check of an unconfirmed server was put off for up to a second if the process waited for its peers or its configuration meanwhile. The id of a server of another writer could make the header of sync requests as large as its own request.

Change: the pause between health checks is 0.1 s until heartbeats count again, and 1 s after an answer that the server leaves or fails. The names and ids in one header have 1 KiB at most; if there are more leavings, each header has others.

--- a/sidecar/doubt.go
+++ b/sidecar/doubt.go
@@ -20,9 +20,10 @@
 	// each answer of the server that it leaves or fails. Within it, each sidecar that can be reached tells the leavings that it
 	// knows in its sync requests.
 	doubtTime = 3 * time.Second
-	// minDoubtPause and maxDoubtPause bound the pause between two health checks of an unconfirmed server.
-	minDoubtPause = 100 * time.Millisecond
-	maxDoubtPause = time.Second
+	// doubtPause is the pause between two health checks of an unconfirmed server, and longDoubtPause that for one that leaves or
+	// fails, or whose heartbeats count again.
+	doubtPause     = 100 * time.Millisecond
+	longDoubtPause = time.Second
 )
 
 // excludesLeaving reports whether no earlier process of this name can have acknowledged a leaving of an incarnation that this
@@ -72,27 +73,29 @@
 		case <-ctx.Done():
 			return
 		}
-		pause := minDoubtPause
-		for a.askUnconfirmedServer(ctx) && timer.Sleep(ctx, pause) {
-			pause = min(2*pause, maxDoubtPause)
+		for pause, again := a.askUnconfirmedServer(ctx); again && timer.Sleep(ctx, pause); {
+			pause, again = a.askUnconfirmedServer(ctx)
 		}
 	}
 }
 
-// askUnconfirmedServer sends a health check to the server if it is unconfirmed, and reports whether it still is.
-func (a *Sidecar) askUnconfirmedServer(ctx context.Context) bool {
+// askUnconfirmedServer sends a health check to the server if it is unconfirmed once other sidecars were asked. It reports whether
+// the server still is, and how long to wait before the next one.
+func (a *Sidecar) askUnconfirmedServer(ctx context.Context) (time.Duration, bool) {
 	a.mu.Lock()
 	s, known := a.server, a.leavingsKnown
 	a.mu.Unlock()
-	if !s.unconfirmed || !s.state.Running() {
-		return false
-	}
-	if known {
-		a.observeHealth(s.incarnation, a.executor.Identify(ctx, a.serviceOf(s.service).HealthPath, identifyTimeout))
+	if !known || !s.unconfirmed || !s.state.Running() {
+		return 0, false
 	}
+	identity := a.executor.Identify(ctx, a.serviceOf(s.service).HealthPath, identifyTimeout)
+	a.observeHealth(s.incarnation, identity)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.server.unconfirmed
+	if identity.Health == platform.LeavingOrFailing || timer.Now() > a.doubtUntil {
+		return longDoubtPause, a.server.unconfirmed
+	}
+	return doubtPause, a.server.unconfirmed
 }
 
 // observeHealth takes the answer of the server to a health check for its own word on whether an incarnation leaves.
--- a/sidecar/doubt_test.go
+++ b/sidecar/doubt_test.go
@@ -1,6 +1,9 @@
 package sidecar
 
 import (
+	"fmt"
+	"slices"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -12,6 +15,28 @@
 	"hibiscusline/timer"
 )
 
+// TestLeavingsInOneHeader guards against leavings that are never told because others fill the header, and against a header that
+// grows with the id of a server of another writer.
+func TestLeavingsInOneHeader(t *testing.T) {
+	long := registrar.Leaving{Member: "x", Incarnation: assigner.Incarnation{Instance: strings.Repeat("i", maxToldBytes), Born: 1}}
+	list := []registrar.Leaving{long}
+	for i := range 200 {
+		list = append(list, registrar.Leaving{Member: "x", Incarnation: assigner.Incarnation{Instance: fmt.Sprint("instance-", i), Born: 1}})
+	}
+	told := map[registrar.Leaving]bool{}
+	for range 200 {
+		some := someLeavings(slices.Clone(list))
+		data, err := registrar.EncodeLeavings(some)
+		require.NoError(t, err)
+		require.Less(t, len(data), 2*maxToldBytes)
+		for _, l := range some {
+			told[l] = true
+		}
+	}
+	require.Len(t, told, 200)
+	require.NotContains(t, told, long)
+}
+
 // TestUnconfirmedServer guards against a server that a process uses after its start because a heartbeat says that it is ready,
 // although those that may know of its leaving haven't answered or it says itself that it leaves.
 func TestUnconfirmedServer(t *testing.T) {
--- a/sidecar/leaving_news.go
+++ b/sidecar/leaving_news.go
@@ -19,8 +19,8 @@
 const (
 	// leavingsField is the field with the leavings.
 	leavingsField = executor.FieldPrefix + "Leavings"
-	// maxToldLeavings bounds the leavings in one header. If there are more, each header has others.
-	maxToldLeavings = 16
+	// maxToldBytes bounds the names and ids of the leavings in one header. If there are more, each header has others.
+	maxToldBytes = 1 << 10
 	// recordLeavingsAfter is how long the process beside a server has to write its leaving before others do, once the store is
 	// available. They wait up to twice as long, so that mostly one of them writes.
 	recordLeavingsAfter = time.Second
@@ -28,14 +28,10 @@
 
 // addUnrecordedLeavings sets the field with leavings that the store lacks.
 func (a *Sidecar) addUnrecordedLeavings(h http.Header) {
-	list := a.registrar.View().UnrecordedLeavings()
+	list := someLeavings(a.registrar.View().UnrecordedLeavings())
 	if len(list) == 0 {
 		return
 	}
-	if len(list) > maxToldLeavings {
-		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-		list = list[:maxToldLeavings]
-	}
 	data, err := registrar.EncodeLeavings(list)
 	if err != nil {
 		_ = a.logger.Log("event", "leavings_not_encoded", "error", err)
@@ -44,6 +40,20 @@
 	h.Set(leavingsField, base64.RawStdEncoding.EncodeToString(data))
 }
 
+// someLeavings returns as many of the leavings, chosen at random, as one header may have.
+func someLeavings(list []registrar.Leaving) []registrar.Leaving {
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	var some []registrar.Leaving
+	size := 0
+	for _, l := range list {
+		if bytes := len(l.Member) + len(l.Incarnation.Instance); size+bytes <= maxToldBytes {
+			size += bytes
+			some = append(some, l)
+		}
+	}
+	return some
+}
+
 // observeLeavings adopts the leavings that another sidecar tells. Earlier releases don't send the field.
 func (a *Sidecar) observeLeavings(h http.Header, source string) {
 	text := h.Get(leavingsField)
