review: case 12, a key is given away while its holder works on it

Looked for: what the system takes for the end of a server that leaves as planned. A server that stopped listening and ended its work before it exited lost the key of that work to another server 1.5 s before it had done it, and 4.9 s before its hold ran out (OWNER).

--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -28,7 +28,7 @@
 		fmt.Fprintln(os.Stderr, "usage: standin-3 CASE HIBISCUSD DIRECTORY")
 		return notRun
 	}
-	cases := map[string]func(*world, bool) error{"memory": playMemory, "born": playBorn, "smuggle": playSmuggle, "mixed": playMixed, "slow": playSlow}
+	cases := map[string]func(*world, bool) error{"memory": playMemory, "born": playBorn, "mixed": playMixed, "slow": playSlow, "owner": playOwner}
 	play, found := cases[os.Args[1]]
 	if !found {
 		fmt.Fprintln(os.Stderr, "no such case")
