--- a/review/standin-3/keyed.go
+++ b/review/standin-3/keyed.go
@@ -43,9 +43,11 @@
 	// given is called for each key that the server gets, with mu held.
 	given func(key int, fence uint64)
 	soon  chan struct{}
-	http  *http.Server
-	stop  context.CancelFunc
-	done  chan struct{}
+	// listedAt is when a heartbeat that listed lastingKey was last answered.
+	listedAt time.Time
+	http     *http.Server
+	stop     context.CancelFunc
+	done     chan struct{}
 }
 
 func (n *node) newKeyedServer(id string, work func(path string) time.Duration) *keyedServer {
@@ -111,12 +113,13 @@
 func (s *keyedServer) sendHeartbeat(ctx context.Context) bool {
 	s.mu.Lock()
 	s.seq++
-	freed := s.freed
+	freed, rows := s.freed, s.holdRows()
+	lists := s.keys[lastingKey].fence != 0
 	body := map[string]any{
 		"address": s.node.backend.String(), "born": s.born,
 		"info":   map[string]any{"service": s.node.service, "zone": zone, "slots": 12, "version": "v1"},
 		"status": map[string]any{"state": s.state, "seq": s.seq, "cold_left": "0ms"},
-		"holds":  s.holdRows(), "freed": freed,
+		"holds":  rows, "freed": freed,
 	}
 	s.mu.Unlock()
 	sent := time.Now()
@@ -138,6 +141,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.freed = s.freed[len(freed):]
+	if lists {
+		s.listedAt = time.Now()
+	}
 	if r.Holds == nil {
 		return false
 	}
@@ -278,9 +284,11 @@
 	}
 }
 
-// atWork reports whether the server works on a key now, and until when it holds it.
-func (s *keyedServer) atWork(key int) (bool, time.Time) {
+// atWork reports whether the server works on lastingKey now, until when it holds it, and when a heartbeat that lists it was last
+// answered.
+func (s *keyedServer) atWork() (working bool, until, listed time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.keys[key].working > 0, s.keys[key].until
+	k := &s.keys[lastingKey]
+	return k.working > 0, k.until, s.listedAt
 }
--- a/review/standin-3/owner.go
+++ b/review/standin-3/owner.go
@@ -23,8 +23,8 @@
 	lastingKey = 4242
 )
 
-// playOwner lets a server leave as planned while it works on a request. It stops listening, ends its work and exits. It checks that
-// nobody else is given the key of the request meanwhile.
+// playOwner lets a server leave as planned while it works on a request. It stops listening, ends its work and exits, and sends
+// heartbeats up to then. It checks that nobody else is given the key of the request meanwhile.
 func playOwner(w *world, trouble bool) error {
 	if err := w.publish(1, []route{{"stock", "/stock/", "idempotent", "stock", longTime}}, map[string]bool{"stock": true}); err != nil {
 		return err
@@ -74,10 +74,10 @@
 			if key != lastingKey {
 				return
 			}
-			working, until := owner.atWork(key)
+			working, until, listed := owner.atWork()
 			left := time.Until(until)
-			w.printf("server %s is given key %d with fence %d; %s is at work on it: %v, and its hold runs for %.1f s more", s.id, key, fence,
-				owner.id, working, left.Seconds())
+			w.printf("server %s is given key %d with fence %d; %s is at work on it: %v; its hold runs for %.1f s more; its last heartbeat that lists it was answered %.1f s ago",
+				s.id, key, fence, owner.id, working, left.Seconds(), time.Since(listed).Seconds())
 			mu.Lock()
 			defer mu.Unlock()
 			if working && left > 0 {
@@ -89,7 +89,7 @@
 	answered := make(chan string, 1)
 	go func() { answered <- sendKeyed(w.nodes[0], "/stock/long", "long", longTime) }()
 	time.Sleep(300 * time.Millisecond)
-	if working, _ := owner.atWork(lastingKey); !working {
+	if working, _, _ := owner.atWork(); !working {
 		return errors.New("the request didn't begin")
 	}
 	if trouble {
@@ -98,10 +98,10 @@
 		time.Sleep(drainTime + littleLonger)
 		status, _, err := owner.post(context.Background(), "Deregister", map[string]any{"born": owner.born})
 		w.printf("server %s deregisters (answer %d, %v), stops listening, and exits when its work is done", owner.id, status, err)
-		owner.stop()
 		if err := owner.http.Shutdown(context.Background()); err != nil {
 			return errors.WithStack(err)
 		}
+		owner.stop()
 		w.printf("server %s has exited", owner.id)
 	}
 	w.printf("the answer to the long request: %s", <-answered)
