--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -55,6 +56,8 @@
 	storeServer       *http.Server
 	storeAddress      netip.AddrPort
 	nodes             []*node
+	// used holds the addresses that were given to the nodes.
+	used map[netip.AddrPort]bool
 }
 
 func newWorld(r *record, binary string) (*world, error) {
@@ -62,7 +65,7 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	w := &world{record: r, binary: binary, directory: directory, store: &simulator.Store{}}
+	w := &world{record: r, binary: binary, directory: directory, store: &simulator.Store{}, used: map[netip.AddrPort]bool{}}
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, errors.WithStack(err)
@@ -122,21 +125,33 @@
 	exited  chan struct{}
 }
 
-func freeAddresses(n int) ([]netip.AddrPort, error) {
+// Ports of the deployments. They lie below those that the kernel gives to connections, which could take one before it is used.
+const firstPort, endPort = 12_000, 32_000
+
+// freeAddresses returns addresses that nobody uses and that it hasn't returned before.
+func (w *world) freeAddresses(n int) ([]netip.AddrPort, error) {
 	var list []netip.AddrPort
-	for range n {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			return nil, errors.WithStack(err)
+	for range endPort - firstPort {
+		if len(list) == n {
+			return list, nil
+		}
+		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(firstPort+rand.IntN(endPort-firstPort)))
+		l, err := net.Listen("tcp4", a.String())
+		if err != nil || w.used[a] {
+			if err == nil {
+				_ = l.Close()
+			}
+			continue
 		}
 		defer func() { _ = l.Close() }()
-		list = append(list, netip.MustParseAddrPort(l.Addr().String()))
+		w.used[a] = true
+		list = append(list, a)
 	}
-	return list, nil
+	return nil, errors.New("no free addresses")
 }
 
 func (w *world) newNode(name, service string) (*node, error) {
-	a, err := freeAddresses(6)
+	a, err := w.freeAddresses(6)
 	if err != nil {
 		return nil, err
 	}
